Serve requests end to end as separate processes

Cause: nothing ran yet; every later change needs a frame to be measured in. Ruled out: one process for control and data path, since only one process per host should take part in the fleet and an entry must outlive its agent. Change: entry, agent, stand-in platform and servers, launcher, demo, checks of documents and settings, route table, the exchange as plain functions. Conclusion: the thin path stands; choice, resends, membership and console come next.

--- /dev/null
+++ b/cowslipmill/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The control process of one host."""
--- /dev/null
+++ b/cowslipmill/agent/feed.py
@@ -0,0 +1,105 @@
+"""Serves the entries of this host over loopback."""
+
+from asyncio import create_task
+from asyncio import Queue
+from asyncio import QueueFull
+from logging import getLogger
+
+from mode import Service
+from websockets.asyncio.server import serve
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import ConnectionClosed
+
+from cowslipmill.agent.messages import FEED_CODEC
+from cowslipmill.agent.messages import FeedMessage
+from cowslipmill.agent.messages import Hello
+from cowslipmill.agent.messages import MAX_FEED_BYTES
+from cowslipmill.runtime.address import split_address
+from cowslipmill.runtime.program import CannotListen
+
+LOG = getLogger(__name__)
+
+MAX_QUEUED_MESSAGES = 256
+
+
+class Feed(Service):
+    """Sends each entry the latest document and facts, then what is news.
+
+    Attributes:
+        latest: Messages that a new entry gets first, by their tag.
+        entries: Queue of each connected entry.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Keeps the address to listen on."""
+        super().__init__()
+        self.address = address
+        self.latest: dict[type, FeedMessage] = {}
+        self.entries: dict[Hello, Queue[FeedMessage]] = {}
+
+    async def on_start(self) -> None:
+        """Listens.
+
+        Raises:
+            CannotListen: If the address is taken.
+        """
+        host, port = split_address(self.address)
+        server = serve(
+            self.serve_entry,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_FEED_BYTES,
+        )
+        try:
+            await self.add_async_context(server)
+        except OSError as error:
+            raise CannotListen('feed_listen', self.address, error) from error
+
+    def publish(self, whole: FeedMessage, news: FeedMessage) -> None:
+        """Sends news to all entries.
+
+        Args:
+            whole: What a new entry needs to hear first.
+            news: What the connected entries have not heard yet.
+        """
+        self.latest[type(whole)] = whole
+        for entry, queue in list(self.entries.items()):
+            try:
+                queue.put_nowait(news)
+            except QueueFull:
+                # The entry connects again and gets the whole state.
+                del self.entries[entry]
+
+    async def serve_entry(self, connection: ServerConnection) -> None:
+        """Feeds one entry until it leaves."""
+        hello = FEED_CODEC.decode(await connection.recv(decode=False))
+        if not isinstance(hello, Hello):
+            return
+        queue: Queue[FeedMessage] = Queue(MAX_QUEUED_MESSAGES)
+        for message in self.latest.values():
+            queue.put_nowait(message)
+        self.entries[hello] = queue
+        LOG.info('entry connected', extra={'entry': hello.entry})
+        sender = create_task(self.send_news(connection, hello, queue))
+        try:
+            await connection.wait_closed()
+        finally:
+            sender.cancel()
+            LOG.info('entry disconnected', extra={'entry': hello.entry})
+            if self.entries.get(hello) is queue:
+                del self.entries[hello]
+
+    async def send_news(
+        self,
+        connection: ServerConnection,
+        hello: Hello,
+        queue: 'Queue[FeedMessage]',
+    ) -> None:
+        """Sends messages until the entry leaves or falls behind."""
+        try:
+            while self.entries.get(hello) is queue:
+                await connection.send(FEED_CODEC.encode(await queue.get()))
+        except ConnectionClosed:
+            return
+        await connection.close()
--- /dev/null
+++ b/cowslipmill/agent/messages.py
@@ -0,0 +1,36 @@
+"""Messages between an agent and the entries of its host."""
+
+from msgspec import Struct
+
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.peers.codec import Codec
+
+MAX_FEED_BYTES = 2_097_152
+
+
+class Hello(Struct, frozen=True, tag='hello', kw_only=True):
+    """An entry names itself after it has connected."""
+
+    entry: str
+    address: str
+    peer_address: str
+    incarnation: int
+
+
+class DocumentInForce(Struct, frozen=True, tag='document', kw_only=True):
+    """The raw document that the agent has checked."""
+
+    version: int
+    raw: bytes
+
+
+class Facts(Struct, frozen=True, tag='facts', kw_only=True):
+    """Facts that are news; `age_ms` is the age of the view behind them."""
+
+    facts: tuple[Fact, ...]
+    age_ms: int
+
+
+FeedMessage = Hello | DocumentInForce | Facts
+
+FEED_CODEC: Codec[FeedMessage] = Codec(FeedMessage, max_bytes=MAX_FEED_BYTES)
--- /dev/null
+++ b/cowslipmill/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/cowslipmill/check/__init__.py
@@ -0,0 +1,1 @@
+"""The offline check of settings and documents."""
--- /dev/null
+++ b/cowslipmill/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing a backend server."""
--- /dev/null
+++ b/cowslipmill/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment on one machine, for a first look."""
--- /dev/null
+++ b/cowslipmill/document/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document: its types, checks and schema."""
--- /dev/null
+++ b/cowslipmill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The data path: one entry process."""
--- /dev/null
+++ b/cowslipmill/entry/entry.py
@@ -0,0 +1,71 @@
+"""One entry process: its parts and their start and stop."""
+
+from asyncio import get_running_loop
+from asyncio import sleep
+from random import Random
+from time import time_ns
+
+from mode import Service
+
+from cowslipmill.agent.messages import Hello
+from cowslipmill.entry.dispatcher import Dispatcher
+from cowslipmill.entry.feedclient import FeedClient
+from cowslipmill.entry.listener import Listener
+from cowslipmill.entry.rules import Rules
+from cowslipmill.entry.upstream import open_session
+from cowslipmill.entry.upstream import Upstream
+from cowslipmill.settings.settings import EntrySettings
+from cowslipmill.telemetry.admin import Admin
+
+
+class Entry(Service):
+    """Receives from callers, calls one backend server, answers.
+
+    Attributes:
+        settings: Settings of this process.
+        rules: What is in force.
+        stopping: Whether the process refuses readiness.
+    """
+
+    def __init__(self, settings: EntrySettings, random: Random) -> None:
+        """Keeps the settings; nothing starts yet."""
+        super().__init__()
+        self.settings = settings
+        self.random = random
+        self.rules = Rules()
+        self.stopping = False
+
+    async def on_start(self) -> None:
+        """Starts the parts, the caller's side last."""
+        settings = self.settings
+        clock = get_running_loop().time
+        session = await self.add_async_context(open_session())
+        dispatcher = Dispatcher(
+            self.rules, Upstream(session), clock, self.random
+        )
+        hello = Hello(
+            entry=settings.name,
+            address=settings.listen,
+            peer_address=settings.peer_listen,
+            incarnation=time_ns() // 1_000_000,
+        )
+        await self.add_runtime_dependency(
+            Admin(settings.admin_listen, self.is_ready)
+        )
+        await self.add_runtime_dependency(
+            FeedClient(settings.agent, hello, self.rules, self.random)
+        )
+        self.listener = await self.add_runtime_dependency(
+            Listener(settings.listen, self.rules, dispatcher, clock)
+        )
+
+    async def stop(self) -> None:
+        """Fails readiness, waits for the balancer in front, then stops."""
+        if self.started and not self.stopping:
+            self.stopping = True
+            await sleep(self.settings.readiness_wait_ms / 1000)
+        await super().stop()
+
+    def is_ready(self) -> bool:
+        """Tells whether the entry wants new work."""
+        return self.rules.document is not None and not self.stopping
--- /dev/null
+++ b/cowslipmill/entry/feedclient.py
@@ -0,0 +1,78 @@
+"""Follows the agent of this host."""
+
+from logging import getLogger
+from random import Random
+
+from mode import Service
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from cowslipmill.agent.messages import DocumentInForce
+from cowslipmill.agent.messages import Facts
+from cowslipmill.agent.messages import FEED_CODEC
+from cowslipmill.agent.messages import Hello
+from cowslipmill.agent.messages import MAX_FEED_BYTES
+from cowslipmill.document.checker import decode_document
+from cowslipmill.document.problem import InvalidDocument
+from cowslipmill.entry.rules import Rules
+
+LOG = getLogger(__name__)
+
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.5
+
+
+class FeedClient(Service):
+    """Keeps the rules up to date with the agent.
+
+    Without its agent the entry goes on with the rules that it has.
+    """
+
+    def __init__(
+        self, address: str, hello: Hello, rules: Rules, random: Random
+    ) -> None:
+        """Keeps where the agent is and what to change."""
+        super().__init__()
+        self.address = address
+        self.hello = hello
+        self.rules = rules
+        self.random = random
+
+    @Service.task
+    async def follow(self) -> None:
+        """Connects again and again, and takes in every message."""
+        while not self.should_stop:
+            try:
+                async with connect(
+                    f'ws://{self.address}',
+                    compression=None,
+                    max_size=MAX_FEED_BYTES,
+                ) as connection:
+                    await self.receive(connection)
+            except (OSError, TimeoutError, WebSocketException):
+                pass
+            pause = self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
+            await self.sleep(pause)
+
+    async def receive(self, connection: ClientConnection) -> None:
+        """Takes in messages until the connection ends."""
+        await connection.send(FEED_CODEC.encode(self.hello))
+        async for raw in connection:
+            if not isinstance(raw, bytes):
+                continue
+            message = FEED_CODEC.decode(raw)
+            if isinstance(message, DocumentInForce):
+                self.put_in_force(message)
+            if isinstance(message, Facts):
+                self.rules.take_facts(message.facts)
+
+    def put_in_force(self, message: DocumentInForce) -> None:
+        """Puts the agent's document in force."""
+        try:
+            document = decode_document(message.raw)
+        except InvalidDocument as error:
+            LOG.warning('document refused', extra={'reason': str(error)})
+            return
+        if self.rules.put_in_force(document):
+            LOG.info('document in force', extra={'version': document.version})
--- /dev/null
+++ b/cowslipmill/entry/metrics.py
@@ -0,0 +1,9 @@
+"""Metrics of an entry."""
+
+from prometheus_client import Counter
+
+REQUESTS = Counter(
+    'cowslipmill_requests_total',
+    'Requests of callers by route and outcome.',
+    ('route', 'outcome'),
+)
--- /dev/null
+++ b/cowslipmill/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Facts about hosts and backend servers that only move forward."""
--- /dev/null
+++ b/cowslipmill/hosts/fact.py
@@ -0,0 +1,56 @@
+"""A fact about one host or backend server."""
+
+from enum import Enum
+from enum import IntEnum
+from typing import Annotated
+
+from msgspec import Meta
+from msgspec import Struct
+
+from cowslipmill.document.document import Name
+
+Address = Annotated[
+    str, Meta(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$')
+]
+
+
+class Role(Enum):
+    """What a listed machine does."""
+
+    ENTRY_HOST = 'entry-host'
+    BACKEND_SERVER = 'backend-server'
+
+
+class State(IntEnum):
+    """Where an incarnation stands in its life; it only moves forward."""
+
+    LIVE = 0
+    LEAVING = 1
+    GONE = 2
+
+
+class Fact(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What is known of one incarnation of a host or backend server.
+
+    Attributes:
+        name: Stable name, unique in the deployment.
+        role: Entry host or backend server.
+        address: IP number and port.
+        failure_domain: The failure domain that it runs in.
+        incarnation: Grows with each start of the host or server.
+        state: The furthest state known of this incarnation.
+        service: The service of a backend server, else ''.
+    """
+
+    name: Name
+    role: Role
+    address: Address
+    failure_domain: Name
+    incarnation: Annotated[int, Meta(ge=0)]
+    state: State = State.LIVE
+    service: str = ''
+
+    def supersedes(self, other: 'Fact') -> bool:
+        """Tells whether this fact is further on than the other."""
+        mine = (self.incarnation, self.state)
+        return mine > (other.incarnation, other.state)
--- /dev/null
+++ b/cowslipmill/launch/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a deployment on one machine for demo, tests and bench."""
--- /dev/null
+++ b/cowslipmill/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""How a request ends, and what its caller is told."""
--- /dev/null
+++ b/cowslipmill/outcomes/outcome.py
@@ -0,0 +1,85 @@
+"""The outcomes of a request.
+
+Each request ends in exactly one of them. `NotRun` is proved, never
+guessed: no byte went to a server, or the server said that it did not start.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+
+class Reason(Enum):
+    """Why a request was not answered by a server."""
+
+    NO_ROUTE = 'no-route'
+    BAD_REQUEST = 'bad-request'
+    REQUEST_TOO_LARGE = 'request-too-large'
+    SLOW_CALLER = 'slow-caller'
+    CALLER_LEFT = 'caller-left'
+    NO_SERVER = 'no-server'
+    NO_CONFIGURATION = 'no-configuration'
+    OVERLOADED = 'overloaded'
+    SHED = 'shed-by-server'
+    CONNECT_FAILED = 'connect-failed'
+    CONNECTION_LOST = 'connection-lost'
+    DEADLINE = 'deadline'
+    ANSWER_TOO_LARGE = 'answer-too-large'
+    BAD_ANSWER = 'bad-answer'
+    STOPPING = 'stopping'
+    SUSPECT = 'suspect-request'
+    KEY_MEMORY_FULL = 'key-memory-full'
+    KEY_HOME_GONE = 'key-home-gone'
+    KEY_REUSED = 'key-reused'
+    KEY_INVALID = 'key-invalid'
+    STALE_VIEW = 'stale-view'
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The server's whole answer to this request.
+
+    Attributes:
+        status: The server's status code.
+        headers: End-to-end headers in the order received.
+        body: The whole body.
+        server: Name of the backend server, or '' for a replayed answer.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    server: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Proof that no server ran the request.
+
+    Attributes:
+        reason: Why it was not run.
+        retry_after_ms: When the caller may send it again.
+        detail: One sentence for the caller.
+    """
+
+    reason: Reason
+    retry_after_ms: int
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """A server may have run the request and no whole answer came back.
+
+    Attributes:
+        reason: What cut the exchange.
+        retry_after_ms: When the caller may ask again.
+        detail: One sentence for the caller.
+    """
+
+    reason: Reason
+    retry_after_ms: int = field(default=1_000)
+    detail: str = ''
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/cowslipmill/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between cowslipmill processes."""
--- /dev/null
+++ b/cowslipmill/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Matching a request with its route."""
--- /dev/null
+++ b/cowslipmill/routing/tests/test_table.py
@@ -0,0 +1,61 @@
+"""Tests of the route table."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import Is
+
+from cowslipmill.document.document import Route
+from cowslipmill.routing.table import RouteTable
+
+
+def make_route(name: str, path: str, host: str = '*') -> Route:
+    """Returns a route for GET."""
+    return Route(
+        name=name,
+        team='team',
+        service='service',
+        methods=('GET',),
+        path=path,
+        host=host,
+        idempotent=True,
+    )
+
+
+@pytest.fixture
+def table() -> RouteTable:
+    """Returns a table in which patterns compete."""
+    return RouteTable(
+        [
+            make_route('literal', '/a/b'),
+            make_route('parameter', '/a/{id}'),
+            make_route('rest', '/a/*'),
+            make_route('deep', '/a/{id}/c'),
+            make_route('host', '/a/b', host='one.example'),
+        ]
+    )
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('two.example', '/a/b', 'literal'),
+        ('one.example', '/a/b', 'host'),
+        ('one.example', '/a/x', 'parameter'),
+        ('two.example', '/a/x/c', 'deep'),
+        ('two.example', '/a/x/d', 'rest'),
+        ('two.example', '/a/', 'rest'),
+    ],
+)
+def test_most_specific_route_wins(
+    table: RouteTable, host: str, path: str, name: str
+) -> None:
+    """Exact host, literal, parameter and rest win in this order."""
+    route = table.find(host, 'GET', path)
+    assert route is not None
+    assert_that(route.name, Equals(name))
+
+
+def test_other_method_finds_no_route(table: RouteTable) -> None:
+    """A route holds only for its methods."""
+    assert_that(table.find('two.example', 'POST', '/a/b'), Is(None))
--- /dev/null
+++ b/cowslipmill/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What each program shares: command line, event loop, stop."""
--- /dev/null
+++ b/cowslipmill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of one process: types and loader."""
--- /dev/null
+++ b/cowslipmill/settings/loader.py
@@ -0,0 +1,56 @@
+"""Loads the settings file of a process."""
+
+from pathlib import Path
+from typing import TypeVar
+
+from msgspec import Struct
+
+from cowslipmill.document.decoder import decode
+from cowslipmill.document.problem import InvalidDocument
+from cowslipmill.document.problem import Problem
+
+T = TypeVar('T', bound=Struct)
+
+MAX_SETTINGS_BYTES = 65_536
+
+
+class InvalidSettings(Exception):
+    """A settings file that no process can start with.
+
+    Attributes:
+        problems: Every fault that was found.
+    """
+
+    def __init__(self, name: str, problems: tuple[Problem, ...]) -> None:
+        """Makes one line of the file's name and its faults."""
+        lines = '; '.join(str(problem) for problem in problems)
+        super().__init__(f'{name}: {lines}')
+        self.problems = problems
+
+
+def load_settings(path: Path, kind: type[T]) -> T:
+    """Loads and checks a settings file.
+
+    Args:
+        path: The JSON file.
+        kind: The settings struct of the program.
+
+    Returns:
+        The settings.
+
+    Raises:
+        InvalidSettings: If the file cannot be read or has faults.
+    """
+    try:
+        with path.open('rb') as stream:
+            raw = stream.read(MAX_SETTINGS_BYTES + 1)
+    except OSError as error:
+        problem = Problem('--settings', error.strerror or str(error))
+        raise InvalidSettings(str(path), (problem,)) from error
+    if len(raw) > MAX_SETTINGS_BYTES:
+        problem = Problem('$', f'larger than {MAX_SETTINGS_BYTES} bytes')
+        raise InvalidSettings(str(path), (problem,))
+    try:
+        return decode(raw, kind)
+    except InvalidDocument as error:
+        raise InvalidSettings(str(path), error.problems) from error
--- /dev/null
+++ b/cowslipmill/settings/settings.py
@@ -0,0 +1,68 @@
+"""Settings of each kind of process.
+
+A process learns its own addresses, its failure domain and where the others
+are from here; what it does with requests comes from the document.
+"""
+
+from typing import Annotated
+
+from msgspec import field
+from msgspec import Meta
+from msgspec import Struct
+
+from cowslipmill.document.document import Name
+from cowslipmill.document.document import Share
+from cowslipmill.hosts.fact import Address
+
+Url = Annotated[str, Meta(pattern=r'^http://[^/\s]+$')]
+DurationMs = Annotated[int, Meta(ge=0, le=3_600_000)]
+PeerKey = Annotated[str, Meta(min_length=32, max_length=256)]
+
+
+class TraceSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Where spans go and how many requests are traced."""
+
+    collector: Url | None = None
+    sampled_share: Share = 0.0
+
+
+class EntrySettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of one entry process.
+
+    `peer_keys` are shared by all hosts: the first signs, all are accepted.
+    """
+
+    name: Name
+    host: Name
+    failure_domain: Name
+    deployment: Name
+    listen: Address
+    admin_listen: Address
+    peer_listen: Address
+    agent: Address
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    traces: TraceSettings = field(default_factory=TraceSettings)
+    readiness_wait_ms: DurationMs = 2_000
+    stop_bound_ms: DurationMs = 30_000
+
+
+class AgentSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of the one agent of an entry host."""
+
+    host: Name
+    failure_domain: Name
+    deployment: Name
+    peer_listen: Address
+    feed_listen: Address
+    admin_listen: Address
+    platform: Url
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    peers: tuple[Address, ...] = ()
+    traces: TraceSettings = field(default_factory=TraceSettings)
+    stop_bound_ms: DurationMs = 10_000
--- /dev/null
+++ b/cowslipmill/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems that cowslipmill talks to."""
--- /dev/null
+++ b/cowslipmill/standin/settings.py
@@ -0,0 +1,41 @@
+"""Settings of a process of stand-ins."""
+
+from typing import Annotated
+
+from msgspec import Meta
+from msgspec import Struct
+
+from cowslipmill.document.document import Name
+from cowslipmill.hosts.fact import Address
+
+
+class ServerSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """One stand-in backend server.
+
+    Requests wait in a queue of `queue_limit` for one of the slots and then
+    take an exponentially distributed time of mean `service_ms`.
+    """
+
+    name: Name
+    service: Name
+    failure_domain: Name
+    address: Address
+    slots: Annotated[int, Meta(ge=1)] = 6
+    queue_limit: Annotated[int, Meta(ge=0)] = 64
+    service_ms: Annotated[float, Meta(ge=0.0)] = 10.0
+    cold_ms: Annotated[int, Meta(ge=0)] = 0
+    cold_factor: Annotated[float, Meta(ge=1.0)] = 1.0
+    seed: int = 1
+
+
+class StandinSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """The stand-ins that one process runs."""
+
+    name: Name
+    platform: Address | None = None
+    collector: Address | None = None
+    servers: tuple[ServerSettings, ...] = ()
--- /dev/null
+++ b/cowslipmill/tries/__init__.py
@@ -0,0 +1,1 @@
+"""The steps of one request, from arrival to its outcome."""
--- /dev/null
+++ b/cowslipmill/tries/event.py
@@ -0,0 +1,63 @@
+"""What may happen to a request while it is served."""
+
+from msgspec import Struct
+
+from cowslipmill.choice.server import Server
+from cowslipmill.outcomes.outcome import NotRun
+from cowslipmill.outcomes.outcome import Reason
+
+
+class ServerChosen(Struct, frozen=True):
+    """A server with room was found."""
+
+    server: Server
+
+
+class ServerRefused(Struct, frozen=True):
+    """No server may get the request now."""
+
+    refusal: NotRun
+
+
+class ConnectFailed(Struct, frozen=True):
+    """No connection came about, so no byte was sent."""
+
+
+class Shed(Struct, frozen=True):
+    """The server said in the agreed form that it did not start."""
+
+    retry_after_ms: int
+
+
+class AnswerRead(Struct, frozen=True):
+    """The whole answer was read."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ExchangeBroken(Struct, frozen=True):
+    """The exchange ended after bytes may have reached the server."""
+
+    reason: Reason
+
+
+class DeadlinePassed(Struct, frozen=True):
+    """The caller's deadline passed."""
+
+
+class CallerLeft(Struct, frozen=True):
+    """The caller closed its connection."""
+
+
+Event = (
+    ServerChosen
+    | ServerRefused
+    | ConnectFailed
+    | Shed
+    | AnswerRead
+    | ExchangeBroken
+    | DeadlinePassed
+    | CallerLeft
+)
