--- a/cowslipmill/agent/messages.py
+++ b/cowslipmill/agent/messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.member import Member
 from cowslipmill.peers.codec import Codec
 
 MAX_FEED_BYTES = 2_097_152
@@ -31,6 +32,16 @@
     age_ms: int
 
 
-FeedMessage = Hello | DocumentInForce | Facts
+class Members(Struct, frozen=True, tag='members', kw_only=True):
+    """Every entry that the agent knows, gone ones while they are remembered.
+
+    `age_ms` is how long ago the agent last heard from any other host.
+    """
+
+    members: tuple[Member, ...]
+    age_ms: int
+
+
+FeedMessage = Hello | DocumentInForce | Facts | Members
 
 FEED_CODEC: Codec[FeedMessage] = Codec(FeedMessage, max_bytes=MAX_FEED_BYTES)
--- /dev/null
+++ b/cowslipmill/hosts/member.py
@@ -0,0 +1,27 @@
+"""An entry process as a member of the fleet."""
+
+from msgspec import Struct
+
+from cowslipmill.hosts.fact import State
+
+
+class Member(Struct, frozen=True, kw_only=True):
+    """One incarnation of one entry process.
+
+    Attributes:
+        name: Name of the entry, unique in the deployment.
+        host: Name of its entry host.
+        failure_domain: The failure domain of the host.
+        incarnation: Unix milliseconds of its start.
+        peer_address: Where other entries reach it.
+        state: Live, leaving or gone.
+        changed_ms_ago: Age of this state in the sender's view.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    incarnation: int
+    peer_address: str
+    state: State = State.LIVE
+    changed_ms_ago: int = 0
