Add authenticated links between peers

Cause: homes of services, resends and agents all need typed messages between processes that know each other. Ruled out: HTTP between our processes (the house style asks for websockets with CBOR) and pings inside each slice (one link per pair is cheaper). Conclusion: slices register handlers on Peering and own their messages.

--- /dev/null
+++ b/cowslipmill/entry/peering.py
@@ -0,0 +1,73 @@
+"""Messages between the entries of a deployment."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from typing import TypeVar
+
+from mode import Service
+
+from cowslipmill.peers.frame import frame_codec
+from cowslipmill.peers.links import PeerLinks
+from cowslipmill.peers.server import PeerServer
+from cowslipmill.settings.settings import EntrySettings
+
+M = TypeVar('M')
+
+MAX_PEER_MESSAGE_BYTES = 20_971_520
+
+
+class Peering(Service):
+    """An entry's server for its peers and its links to them.
+
+    Attributes:
+        links: Outgoing links.
+        handlers: What takes in each type of message.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        messages: tuple[type, ...],
+        random: Random,
+    ) -> None:
+        """Makes server and links for the types of messages given."""
+        super().__init__()
+        codec = frame_codec(messages, max_bytes=MAX_PEER_MESSAGE_BYTES)
+        keys = settings.peer_keys
+        self.handlers: dict[type, Callable[[Any, str], Awaitable[Any]]] = {}
+        self.links = PeerLinks(settings.name, keys, codec, random)
+        self.server = PeerServer(
+            settings.peer_listen, 'peer_listen', keys, codec, self.handle
+        )
+
+    async def on_start(self) -> None:
+        """Starts server and links."""
+        await self.add_runtime_dependency(self.links)
+        await self.add_runtime_dependency(self.server)
+
+    def register(
+        self, kind: type[M], handler: Callable[[M, str], Awaitable[Any]]
+    ) -> None:
+        """Sets what takes in one type of message.
+
+        Args:
+            kind: The type.
+            handler: Takes the message and the sender's name and returns the
+                reply, or None.
+        """
+        self.handlers[kind] = handler
+
+    async def handle(self, message: Any, peer: str) -> Any:
+        """Hands a message to the slice that it belongs to."""
+        handler = self.handlers.get(type(message))
+        return await handler(message, peer) if handler else None
+
+    def send(self, address: str, message: Any) -> bool:
+        """Queues one message; False if the peer is out of reach."""
+        return self.links.send(address, message)
+
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Returns the reply to a message, or `Unreachable`."""
+        return await self.links.call(address, message, timeout_s)
--- /dev/null
+++ b/cowslipmill/peers/links.py
@@ -0,0 +1,83 @@
+"""Outgoing links to every peer that is called."""
+
+from random import Random
+from typing import Any
+
+from mode import Service
+
+from cowslipmill.peers.codec import Codec
+from cowslipmill.peers.link import Link
+from cowslipmill.peers.link import Unreachable
+
+MAX_LINKS = 1024
+
+
+class PeerLinks(Service):
+    """Opens a link to a peer when it is first called.
+
+    Attributes:
+        links: Open links by address.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        keys: tuple[str, ...],
+        codec: Codec[Any],
+        random: Random,
+    ) -> None:
+        """Keeps what each link needs."""
+        super().__init__()
+        self.name = name
+        self.keys = keys
+        self.codec = codec
+        self.random = random
+        self.links: dict[str, Link] = {}
+
+    async def find(self, address: str) -> Link | None:
+        """Returns the link to an address, opened if need be."""
+        link = self.links.get(address)
+        if link is not None:
+            return link
+        if len(self.links) >= MAX_LINKS or self.should_stop:
+            return None
+        link = Link(address, self.name, self.keys, self.codec, self.random)
+        self.links[address] = link
+        await self.add_runtime_dependency(link)
+        return link
+
+    def send(self, address: str, message: Any) -> bool:
+        """Queues one message.
+
+        Returns:
+            False if the peer is out of reach or its queue is full.
+        """
+        link = self.links.get(address)
+        if link is not None:
+            return link.send(message)
+        self.add_future(self.send_first(address, message))
+        return True
+
+    async def send_first(self, address: str, message: Any) -> None:
+        """Opens a link and queues its first message."""
+        link = await self.find(address)
+        if link is not None:
+            link.send(message)
+
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Sends a message and waits for its reply.
+
+        Returns:
+            The reply, or `Unreachable`.
+        """
+        link = await self.find(address)
+        if link is None:
+            return Unreachable('too many links')
+        return await link.call(message, timeout_s)
+
+    async def forget(self, address: str) -> None:
+        """Closes the link to a peer that is gone."""
+        link = self.links.pop(address, None)
+        if link is not None:
+            await self.remove_dependency(link)
+            await link.stop()
