Add the bench frame and decode documents in one pass

Ruled out: the checks that cross fields (9 ms together), building the route table (6 ms). Change: decode in one pass first; look at each field only when that fails. Before: decode_document_ms 331.1 at target size.

--- /dev/null
+++ b/cowslipmill/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each experiment, with `async def run(context)`."""
--- a/cowslipmill/demo/main.py
+++ b/cowslipmill/demo/main.py
@@ -13,9 +13,9 @@
 from cowslipmill.demo.demo import send_one
 from cowslipmill.demo.demo import Tally
 from cowslipmill.launch.deployment import Deployment
+from cowslipmill.launch.launcher import Launcher
 from cowslipmill.launch.layout import Layout
 from cowslipmill.launch.network import Network
-from cowslipmill.launch.process import Launcher
 from cowslipmill.runtime.program import run_program
 
 HOST_COUNT = 3
--- a/cowslipmill/demo/tests/test_demo.py
+++ b/cowslipmill/demo/tests/test_demo.py
@@ -13,9 +13,9 @@
 from cowslipmill.demo.demo import send_one
 from cowslipmill.demo.demo import Tally
 from cowslipmill.launch.deployment import Deployment
+from cowslipmill.launch.launcher import Launcher
 from cowslipmill.launch.layout import Layout
 from cowslipmill.launch.network import Network
-from cowslipmill.launch.process import Launcher
 
 
 @pytest_asyncio.fixture
--- a/cowslipmill/document/decoder.py
+++ b/cowslipmill/document/decoder.py
@@ -33,6 +33,15 @@
     Raises:
         InvalidDocument: With every fault found, one for each field.
     """
+    try:
+        return json.decode(raw, type=kind)
+    except (DecodeError, UnicodeDecodeError):
+        # The library stops at its first fault; all of them are wanted.
+        return decode_slowly(raw, kind)
+
+
+def decode_slowly(raw: bytes, kind: type[T]) -> T:
+    """Decodes JSON with a look at each field; arguments as for `decode`."""
     try:
         value = json.decode(raw)
     except (DecodeError, UnicodeDecodeError) as error:
--- a/cowslipmill/launch/deployment.py
+++ b/cowslipmill/launch/deployment.py
@@ -7,8 +7,8 @@
 from msgspec import json
 
 from cowslipmill.document.document import Document
+from cowslipmill.launch.launcher import Launcher
 from cowslipmill.launch.layout import Layout
-from cowslipmill.launch.process import Launcher
 from cowslipmill.platform.hostlist import HostList
 
 READY_BOUND_S = 30.0
