--- a/cowslipmill/bench/experiments/slopes.py
+++ b/cowslipmill/bench/experiments/slopes.py
@@ -9,11 +9,13 @@
 from time import perf_counter
 
 from msgspec import json
+from msgspec.structs import replace
 
 from cowslipmill.agent.messages import Facts
 from cowslipmill.agent.messages import FEED_CODEC
 from cowslipmill.bench.experiment import Context
 from cowslipmill.bench.experiment import Result
+from cowslipmill.document.cache import DocumentCache
 from cowslipmill.document.checker import decode_document
 from cowslipmill.document.document import Document
 from cowslipmill.document.document import Route
@@ -48,6 +50,7 @@
     document = decode_document(raw)
     facts = make_facts(services, servers)
     table = RouteTable(document.routes)
+    changed = json.encode(change_one_route(document))
     message = Facts(facts=facts, age_ms=0)
     encoded = FEED_CODEC.encode(message)
     path = f'/service-{services // 2}/items/77'
@@ -58,6 +61,7 @@
         'host_list_bytes': len(json.encode(facts)),
         'facts_message_bytes': len(encoded),
         'decode_document_ms': time_ms(lambda: decode_document(raw)),
+        'decode_change_ms': time_changes_ms(raw, changed),
         'build_routes_ms': time_ms(lambda: RouteTable(document.routes)),
         'merge_facts_ms': time_ms(lambda: View(facts)),
         'encode_facts_ms': time_ms(lambda: FEED_CODEC.encode(message)),
@@ -79,6 +83,24 @@
     return round(min(times) * 1000 / calls, 5)
 
 
+def time_changes_ms(raw: bytes, changed: bytes) -> float:
+    """Returns the time to put one changed route in force at an entry."""
+    cache = DocumentCache()
+    table = RouteTable(cache.decode(raw).routes)
+
+    def put_in_force_twice() -> None:
+        table.replace(cache.decode(changed).routes)
+        table.replace(cache.decode(raw).routes)
+
+    return time_ms(put_in_force_twice) / 2
+
+
+def change_one_route(document: Document) -> Document:
+    """Returns the document with another deadline in one route."""
+    first = replace(document.routes[0], deadline_ms=1_234)
+    return replace(document, routes=(first, *document.routes[1:]))
+
+
 def make_document(services: int) -> Document:
     """Returns a document with a number of services and their routes."""
     team = Team(name='team')
--- a/cowslipmill/routing/table.py
+++ b/cowslipmill/routing/table.py
@@ -1,6 +1,7 @@
 """The table that finds the route of a request."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 from cowslipmill.document.document import Route
 
@@ -31,9 +32,13 @@
 
     An exact host wins over `*`; in a path a literal segment wins over a
     parameter and a parameter over the rest.
+
+    Attributes:
+        roots: Root of the tree of each host.
+        routes: Every route in the table.
     """
 
-    __slots__ = ('roots',)
+    __slots__ = ('roots', 'routes')
 
     def __init__(self, routes: Iterable[Route] = ()) -> None:
         """Builds the tree.
@@ -42,11 +47,31 @@
             routes: Routes of a checked document, without overlaps.
         """
         self.roots: dict[str, Node] = {}
-        for route in routes:
+        self.routes: frozenset[Route] = frozenset()
+        self.replace(routes)
+
+    def replace(self, routes: Iterable[Route]) -> None:
+        """Sets the routes; only those that differ cost time."""
+        wanted = frozenset(routes)
+        for route in self.routes - wanted:
+            self.remove(route)
+        for route in wanted - self.routes:
             self.add(route)
+        self.routes = wanted
 
     def add(self, route: Route) -> None:
-        """Adds one route."""
+        """Adds one route, in place of any that matches equally well."""
+        for method, target in self.targets(route):
+            target[method] = route
+
+    def remove(self, route: Route) -> None:
+        """Removes one route; its nodes stay for the next one."""
+        for method, target in self.targets(route):
+            if target.get(method) is route:
+                del target[method]
+
+    def targets(self, route: Route) -> Iterator[tuple[str, dict[str, Route]]]:
+        """Yields each method with the routes where the path ends."""
         node = self.roots.setdefault(route.host, Node())
         segments = route.path.split('/')[1:]
         has_rest = segments[-1] == REST
@@ -57,7 +82,7 @@
             node = node.children.setdefault(key, Node())
         target = node.rest if has_rest else node.routes
         for method in route.methods:
-            target[method] = route
+            yield method, target
 
     def find(self, host: str, method: str, path: str) -> Route | None:
         """Returns the route of a request, or None.
--- a/cowslipmill/routing/tests/test_table.py
+++ b/cowslipmill/routing/tests/test_table.py
@@ -59,3 +59,17 @@
 def test_other_method_finds_no_route(table: RouteTable) -> None:
     """A route holds only for its methods."""
     assert_that(table.find('two.example', 'POST', '/a/b'), Is(None))
+
+
+def test_replaced_routes_are_no_longer_found(table: RouteTable) -> None:
+    """Routes of an older document give way to those of a newer one."""
+    table.replace([make_route('other', '/a/{key}'), make_route('new', '/n')])
+    found = [
+        route and route.name
+        for route in (
+            table.find('one.example', 'GET', '/a/b'),
+            table.find('one.example', 'GET', '/a/x/c'),
+            table.find('one.example', 'GET', '/n'),
+        )
+    ]
+    assert_that(found, Equals(['other', None, 'new']))
