Send queued peer messages together

Ruled out: CBOR (0.25 s of 2.7 s for 4,000 profiled calls). Change: what is queued goes out as one CBOR array; replies have one sender for each connection; a call's timeout is a timer in place of a context. Conclusion: leases and agents' messages pay for batches, not for messages.

--- a/cowslipmill/bench/main.py
+++ b/cowslipmill/bench/main.py
@@ -2,6 +2,8 @@
 
 from asyncio import Runner
 from importlib import import_module
+from logging import getLogger
+from logging import WARNING
 from os import environ
 from pathlib import Path
 from pkgutil import iter_modules
@@ -74,6 +76,7 @@
         raise UsageError(f'--experiment: name one of {names}')
     if values.seconds is not None and values.seconds <= 0:
         raise UsageError('--seconds: must be more than 0')
+    getLogger().setLevel(WARNING)
     environ['UV_USE_IO_URING'] = '0'
     from uvloop import new_event_loop
 
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -6,7 +6,6 @@
 from asyncio import get_running_loop
 from asyncio import Queue
 from asyncio import QueueFull
-from asyncio import timeout
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -16,9 +15,10 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
-from cowslipmill.peers.codec import Codec
+from cowslipmill.peers.batch import take_batch
 from cowslipmill.peers.codec import Malformed
 from cowslipmill.peers.frame import Frame
+from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import Kind
 from cowslipmill.peers.metrics import DROPPED
 from cowslipmill.peers.metrics import RECEIVED_BYTES
@@ -60,7 +60,7 @@
         address: str,
         name: str,
         keys: tuple[str, ...],
-        codec: Codec[Any],
+        codec: FrameCodec,
         random: Random,
     ) -> None:
         """Keeps the parts; the connection opens on start."""
@@ -108,7 +108,7 @@
         self.failures = 0
         try:
             async for raw in connection:
-                self.take_reply(raw)
+                self.take_replies(raw)
         finally:
             self.connected.clear()
             sender.cancel()
@@ -119,25 +119,26 @@
         """Sends one queued message after the other."""
         try:
             while True:
-                raw = await self.queue.get()
+                raw = await take_batch(self.queue, self.codec.max_bytes)
                 SENT_BYTES.inc(len(raw))
                 await connection.send(raw)
         except WebSocketException:
             return
 
-    def take_reply(self, raw: str | bytes) -> None:
-        """Ends the call that a reply belongs to."""
+    def take_replies(self, raw: str | bytes) -> None:
+        """Ends the calls that a batch of replies belongs to."""
         if isinstance(raw, str):
             DROPPED.labels('malformed').inc()
             return
         RECEIVED_BYTES.inc(len(raw))
-        frame = self.codec.decode(raw)
-        if isinstance(frame, Malformed) or frame.kind is not Kind.REPLY:
+        frames = self.codec.decode(raw)
+        if isinstance(frames, Malformed):
             DROPPED.labels('malformed').inc()
             return
-        future = self.calls.pop(frame.call, None)
-        if future is not None and not future.done():
-            future.set_result(frame.message)
+        for frame in frames:
+            future = self.calls.pop(frame.call, None)
+            if frame.kind is Kind.REPLY and future is not None:
+                end_call(future, frame.message)
 
     def drop_queued(self) -> None:
         """Drops what was queued for the connection that has ended."""
@@ -149,8 +150,7 @@
         """Ends every open call as unreachable."""
         calls, self.calls = self.calls, {}
         for future in calls.values():
-            if not future.done():
-                future.set_result(Unreachable(reason, sent=True))
+            end_call(future, Unreachable(reason, sent=True))
 
     def send(self, message: Any) -> bool:
         """Queues one message and tells whether it was taken."""
@@ -176,15 +176,22 @@
         raw = self.codec.encode(Frame(Kind.CALL, number, message))
         if not self.enqueue(raw):
             return Unreachable('no connection')
-        future = get_running_loop().create_future()
+        loop = get_running_loop()
+        future: Future[Any] = loop.create_future()
         self.calls[number] = future
+        late = Unreachable('no reply in time', sent=True)
+        timer = loop.call_later(timeout_s, end_call, future, late)
         try:
-            async with timeout(timeout_s):
-                reply = await future
-        except TimeoutError:
-            return Unreachable('no reply in time', sent=True)
+            reply = await future
         finally:
+            timer.cancel()
             self.calls.pop(number, None)
         if reply is None:
             return Unreachable('the peer could not answer', sent=True)
         return reply
+
+
+def end_call(future: 'Future[Any]', reply: Any) -> None:
+    """Ends a call that has not ended yet."""
+    if not future.done():
+        future.set_result(reply)
--- a/cowslipmill/peers/links.py
+++ b/cowslipmill/peers/links.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from cowslipmill.peers.codec import Codec
+from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.link import Link
 from cowslipmill.peers.link import Unreachable
 
@@ -23,7 +23,7 @@
         self,
         name: str,
         keys: tuple[str, ...],
-        codec: Codec[Any],
+        codec: FrameCodec,
         random: Random,
     ) -> None:
         """Keeps what each link needs."""
--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import get_running_loop
+from asyncio import Queue
 from asyncio import Task
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -13,9 +14,10 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
-from cowslipmill.peers.codec import Codec
+from cowslipmill.peers.batch import take_batch
 from cowslipmill.peers.codec import Malformed
 from cowslipmill.peers.frame import Frame
+from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import Kind
 from cowslipmill.peers.metrics import DROPPED
 from cowslipmill.peers.metrics import RECEIVED_BYTES
@@ -53,7 +55,7 @@
         address: str,
         field: str,
         keys: tuple[str, ...],
-        codec: Codec[Any],
+        codec: FrameCodec,
         handler: Handler,
         *,
         max_messages_per_second: float = MAX_MESSAGES_PER_SECOND,
@@ -102,41 +104,60 @@
         """Takes in messages after the handshake."""
         clock = get_running_loop().time
         limit = RateLimit(self.max_messages_per_second, clock())
+        replies: Queue[bytes] = Queue()
+        sender = create_task(self.send_replies(connection, replies))
         calls: set[Task[None]] = set()
         try:
             async for raw in connection:
-                if not limit.allow(clock()):
-                    REFUSED_PEERS.labels('flood').inc()
-                    LOG.warning('peer cut off', extra={'peer': name})
-                    return
-                await self.take(connection, name, raw, calls)
+                for frame in self.decode(raw):
+                    if not limit.allow(clock()):
+                        REFUSED_PEERS.labels('flood').inc()
+                        LOG.warning('peer cut off', extra={'peer': name})
+                        return
+                    await self.take(frame, name, replies, calls)
         finally:
-            for task in calls:
+            for task in (sender, *calls):
                 task.cancel()
 
+    async def send_replies(
+        self, connection: ServerConnection, replies: 'Queue[bytes]'
+    ) -> None:
+        """Sends replies until the connection ends."""
+        try:
+            while True:
+                raw = await take_batch(replies, self.codec.max_bytes)
+                SENT_BYTES.inc(len(raw))
+                await connection.send(raw)
+        except ConnectionClosed:
+            DROPPED.labels('peer-left').inc(replies.qsize() + 1)
+
+    def decode(self, raw: str | bytes) -> list[Frame[Any]]:
+        """Returns the frames of one message; none if it is malformed."""
+        if isinstance(raw, str):
+            DROPPED.labels('malformed').inc()
+            return []
+        RECEIVED_BYTES.inc(len(raw))
+        frames = self.codec.decode(raw)
+        if isinstance(frames, Malformed):
+            DROPPED.labels('malformed').inc()
+            return []
+        return frames
+
     async def take(
         self,
-        connection: ServerConnection,
+        frame: Frame[Any],
         name: str,
-        raw: str | bytes,
+        replies: 'Queue[bytes]',
         calls: set[Task[None]],
     ) -> None:
         """Takes in one message."""
-        if isinstance(raw, str):
-            DROPPED.labels('malformed').inc()
-            return
-        RECEIVED_BYTES.inc(len(raw))
-        frame = self.codec.decode(raw)
-        if isinstance(frame, Malformed) or frame.message is None:
-            DROPPED.labels('malformed').inc()
-            return
         if frame.kind is Kind.NEWS:
             await self.handle(frame.message, name)
             return
         if frame.kind is not Kind.CALL or len(calls) >= MAX_OPEN_CALLS:
             DROPPED.labels('unexpected').inc()
             return
-        task = create_task(self.reply(connection, name, frame))
+        task = create_task(self.reply(frame, name, replies))
         calls.add(task)
         task.add_done_callback(calls.discard)
 
@@ -150,7 +171,7 @@
             return None
 
     async def reply(
-        self, connection: ServerConnection, name: str, frame: Frame[Any]
+        self, frame: Frame[Any], name: str, replies: 'Queue[bytes]'
     ) -> None:
         """Answers one call."""
         message = await self.handle(frame.message, name)
@@ -159,8 +180,4 @@
         except ValueError:
             DROPPED.labels('reply-too-large').inc()
             raw = self.codec.encode(Frame(Kind.REPLY, frame.call, None))
-        SENT_BYTES.inc(len(raw))
-        try:
-            await connection.send(raw)
-        except ConnectionClosed:
-            DROPPED.labels('peer-left').inc()
+        replies.put_nowait(raw)
