Pass a server's load and drain signals on as typed values

Cause: choice and the fleet need what servers say along with answers, and callers got those headers passed on.

Change: AnswerRead and Shed carry Signals (Load, leaving); Shed takes the server's own Retry-After. Every Cowslipmill-* header and the load report of a server are stripped from what callers get. A connect timeout counts as not sent. An answer that only the end of its connection delimits, or with ambiguous framing, is no whole answer and ends as bad-answer.

--- /dev/null
+++ b/cowslipmill/entry/signals.py
@@ -0,0 +1,53 @@
+"""Reads what a server says about itself in the headers of an answer."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+from cowslipmill.outcomes.headers import LEAVING_HEADER
+from cowslipmill.outcomes.headers import LOAD_HEADER
+from cowslipmill.tries.event import Load
+from cowslipmill.tries.event import NO_SIGNALS
+from cowslipmill.tries.event import Signals
+
+TEXT_PREFIX = 'TEXT '
+IN_FLIGHT_METRIC = 'named_metrics.in_flight'
+QUEUED_METRIC = 'named_metrics.queue'
+MAX_REPORT_CHARS = 1_024
+MAX_REQUESTS = 1_000_000
+
+
+def read_signals(headers: Mapping[str, str]) -> Signals:
+    """Returns the signals in the headers of an answer.
+
+    Args:
+        headers: Headers by name, upper and lower case alike.
+    """
+    report = headers.get(LOAD_HEADER)
+    leaving = LEAVING_HEADER in headers
+    if report is None and not leaving:
+        return NO_SIGNALS
+    return Signals(read_load(report or ''), leaving)
+
+
+def read_load(report: str) -> Load | None:
+    """Returns the load in a report, or None if it cannot be read.
+
+    Args:
+        report: An ORCA load report in its text form.
+    """
+    if len(report) > MAX_REPORT_CHARS or not report.startswith(TEXT_PREFIX):
+        return None
+    metrics = dict(read_metrics(report.removeprefix(TEXT_PREFIX)))
+    if IN_FLIGHT_METRIC not in metrics:
+        return None
+    in_flight = metrics[IN_FLIGHT_METRIC]
+    return Load(in_flight, metrics.get(QUEUED_METRIC, 0))
+
+
+def read_metrics(text: str) -> Iterator[tuple[str, int]]:
+    """Yields the whole numbers of a report that are in bounds."""
+    for part in text.split(','):
+        name, _, value = part.strip().partition('=')
+        if value.isascii() and value.isdecimal():
+            number = int(value) if len(value) < 8 else MAX_REQUESTS
+            yield name, min(number, MAX_REQUESTS)
--- /dev/null
+++ b/cowslipmill/entry/tests/test_signals.py
@@ -0,0 +1,59 @@
+"""What servers say about themselves along with answers."""
+
+from hypothesis import given
+from hypothesis import strategies
+from multidict import CIMultiDict
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import Is
+
+from cowslipmill.entry.signals import MAX_REQUESTS
+from cowslipmill.entry.signals import read_load
+from cowslipmill.entry.signals import read_signals
+from cowslipmill.tries.event import Load
+from cowslipmill.tries.event import Signals
+
+
+def test_both_signals_are_read() -> None:
+    """Load and leaving come as typed values."""
+    headers = CIMultiDict(
+        {
+            'endpoint-load-metrics': (
+                'TEXT named_metrics.in_flight=3, named_metrics.queue=2'
+            ),
+            'cowslipmill-leaving': '1',
+        }
+    )
+    expected = Signals(Load(in_flight=3, queued=2), leaving=True)
+    assert_that(read_signals(headers), Equals(expected))
+
+
+def test_an_answer_without_headers_has_no_signals() -> None:
+    """A server may say nothing."""
+    assert_that(read_signals(CIMultiDict()), Equals(Signals()))
+
+
+@pytest.mark.parametrize(
+    'report',
+    [
+        '',
+        'JSON {"named_metrics": {"in_flight": 3}}',
+        'TEXT named_metrics.queue=2',
+        'TEXT named_metrics.in_flight=-3',
+        'TEXT named_metrics.in_flight=\u0663',
+        'TEXT ' + 'named_metrics.in_flight=1,' * 100,
+    ],
+)
+def test_an_unreadable_report_counts_as_none(report: str) -> None:
+    """A malformed report never becomes a load."""
+    assert_that(read_load(report), Is(None))
+
+
+@given(strategies.text(max_size=200))
+def test_any_report_is_read_or_ignored(text: str) -> None:
+    """No report raises, and every load is in bounds."""
+    load = read_load(f'TEXT {text}, named_metrics.in_flight=7{text}')
+    if load is not None:
+        assert_that(0 <= load.in_flight <= MAX_REQUESTS, Is(True))
+        assert_that(0 <= load.queued <= MAX_REQUESTS, Is(True))
--- a/cowslipmill/entry/upstream.py
+++ b/cowslipmill/entry/upstream.py
@@ -1,18 +1,24 @@
 """Sends a request to one backend server and reads its whole answer."""
 
+from collections.abc import Mapping
+
 from aiohttp import ClientConnectorError
 from aiohttp import ClientError
 from aiohttp import ClientResponse
+from aiohttp import ClientResponseError
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
+from aiohttp import ConnectionTimeoutError
 from aiohttp import DummyCookieJar
 from aiohttp import TCPConnector
 from multidict import CIMultiDict
 from yarl import URL
 
+from cowslipmill.entry.signals import read_signals
 from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import DEADLINE_HEADER
 from cowslipmill.outcomes.headers import HOP_BY_HOP
+from cowslipmill.outcomes.headers import LOAD_HEADER
 from cowslipmill.outcomes.headers import NOT_STARTED_HEADER
 from cowslipmill.outcomes.outcome import Reason
 from cowslipmill.tries.event import AnswerRead
@@ -24,6 +30,10 @@
 CONNECT_TIMEOUT_S = 0.25
 KEEP_ALIVE_S = 10.0
 SHED_RETRY_AFTER_MS = 1_000
+MAX_RETRY_AFTER_MS = 60_000
+BODYLESS_STATUSES = frozenset((204, 304))
+SERVER_SIGNALS = frozenset((LOAD_HEADER.lower(), 'content-length'))
+OWN_PREFIX = 'cowslipmill-'
 NO_TOTAL_TIMEOUT = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
@@ -84,35 +94,91 @@
                 allow_redirects=False,
                 timeout=NO_TOTAL_TIMEOUT,
             ) as answer:
-                return await self.read(answer, request.max_answer_bytes)
-        except ClientConnectorError:
+                return await read_answer(answer, request.max_answer_bytes)
+        except (ClientConnectorError, ConnectionTimeoutError):
             return ConnectFailed()
+        except ClientResponseError:
+            return ExchangeBroken(Reason.BAD_ANSWER)
         except (ClientError, OSError):
             return ExchangeBroken(Reason.CONNECTION_LOST)
 
-    async def read(self, answer: ClientResponse, max_bytes: int) -> Event:
-        """Reads the whole answer within its size bound."""
-        length = answer.content_length
-        if length is not None and length > max_bytes:
-            answer.close()
-            return ExchangeBroken(Reason.ANSWER_TOO_LARGE)
-        parts = []
-        size = 0
-        async for part in answer.content.iter_any():
-            size += len(part)
-            if size > max_bytes:
-                answer.close()
-                return ExchangeBroken(Reason.ANSWER_TOO_LARGE)
-            parts.append(part)
-        if answer.status == 503 and NOT_STARTED_HEADER in answer.headers:
-            return Shed(SHED_RETRY_AFTER_MS)
-        headers = tuple(
-            (name, value)
-            for name, value in answer.headers.items()
-            if name.lower() not in HOP_BY_HOP
-            and name.lower() != 'content-length'
-        )
-        return AnswerRead(answer.status, headers, b''.join(parts))
+
+async def read_answer(answer: ClientResponse, max_bytes: int) -> Event:
+    """Reads the whole answer within its size bound."""
+    if not is_well_framed(answer):
+        answer.close()
+        return ExchangeBroken(Reason.BAD_ANSWER)
+    body = await read_body(answer, max_bytes)
+    if body is None:
+        answer.close()
+        return ExchangeBroken(Reason.ANSWER_TOO_LARGE)
+    signals = read_signals(answer.headers)
+    if answer.status == 503 and NOT_STARTED_HEADER in answer.headers:
+        return Shed(read_retry_after_ms(answer.headers), signals)
+    return AnswerRead(answer.status, forwarded_headers(answer), body, signals)
+
+
+def has_no_body(answer: ClientResponse) -> bool:
+    """Tells whether an answer ends with its head."""
+    return answer.method == 'HEAD' or answer.status in BODYLESS_STATUSES
+
+
+def is_well_framed(answer: ClientResponse) -> bool:
+    """Tells whether the end of the answer is known for sure.
+
+    An answer that only the end of its connection delimits may have lost its
+    tail, so it does not count.
+    """
+    lengths = answer.headers.getall('Content-Length', ())
+    codings = answer.headers.getall('Transfer-Encoding', ())
+    if answer.status < 200 or len(lengths) + len(codings) > 1:
+        return False
+    return bool(lengths or codings) or has_no_body(answer)
+
+
+async def read_body(answer: ClientResponse, max_bytes: int) -> bytes | None:
+    """Returns the whole body, or None if it is too large."""
+    if has_no_body(answer):
+        return b''
+    if (answer.content_length or 0) > max_bytes:
+        return None
+    parts = []
+    size = 0
+    async for part in answer.content.iter_any():
+        size += len(part)
+        if size > max_bytes:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+def forwarded_headers(answer: ClientResponse) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that go on to the caller."""
+    dropped = HOP_BY_HOP | SERVER_SIGNALS
+    connection = answer.headers.get('Connection')
+    if connection is not None:
+        dropped |= connection_options(connection)
+    if answer.method == 'HEAD':
+        dropped -= {'content-length'}
+    return tuple(
+        (name, value)
+        for name, value in answer.headers.items()
+        if (lower := name.lower()) not in dropped
+        and not lower.startswith(OWN_PREFIX)
+    )
+
+
+def connection_options(value: str) -> frozenset[str]:
+    """Returns the names that a `Connection` header lists."""
+    return frozenset(name.strip().lower() for name in value.split(','))
+
+
+def read_retry_after_ms(headers: Mapping[str, str]) -> int:
+    """Returns when a server that shed a request wants it again."""
+    value = headers.get('Retry-After', '')
+    if not (value.isascii() and value.isdecimal()) or len(value) > 6:
+        return SHED_RETRY_AFTER_MS
+    return min(int(value) * 1000, MAX_RETRY_AFTER_MS)
 
 
 def open_session() -> ClientSession:
--- a/cowslipmill/tries/event.py
+++ b/cowslipmill/tries/event.py
@@ -7,6 +7,28 @@
 from cowslipmill.outcomes.outcome import Reason
 
 
+class Load(Struct, frozen=True):
+    """The load that a server reported along with an answer."""
+
+    in_flight: int
+    queued: int
+
+
+class Signals(Struct, frozen=True):
+    """What a server said about itself along with an answer.
+
+    Attributes:
+        load: Its load, or None if it reported none.
+        leaving: Whether it takes no new work any more.
+    """
+
+    load: Load | None = None
+    leaving: bool = False
+
+
+NO_SIGNALS = Signals()
+
+
 class ServerChosen(Struct, frozen=True):
     """A server with room was found."""
 
@@ -27,6 +49,7 @@
     """The server said in the agreed form that it did not start."""
 
     retry_after_ms: int
+    signals: Signals = NO_SIGNALS
 
 
 class AnswerRead(Struct, frozen=True):
@@ -35,6 +58,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    signals: Signals = NO_SIGNALS
 
 
 class ExchangeBroken(Struct, frozen=True):
