--- a/cowslipmill/bench/load.py
+++ b/cowslipmill/bench/load.py
@@ -1,5 +1,6 @@
 """Open-loop load: arrivals do not wait for answers."""
 
+from asyncio import Event
 from asyncio import gather
 from asyncio import get_running_loop
 from asyncio import sleep
@@ -43,6 +44,7 @@
     *,
     recorder: Recorder | None = None,
     progress: Callable[[float], None] | None = None,
+    stop: Event | None = None,
 ) -> Recorder:
     """Sends requests at their due times and waits for the last answer.
 
@@ -51,6 +53,7 @@
         send: Sends the request of a number and returns its outcome.
         recorder: Takes the results; a new one if left out.
         progress: Called with the share of the time that has passed.
+        stop: Ends the arrivals early once it is set.
 
     Returns:
         The recorder.
@@ -62,7 +65,7 @@
     due_at = started_at
     tasks: set[Task[None]] = set()
     number = 0
-    while True:
+    while stop is None or not stop.is_set():
         due_at += random.expovariate(load.per_second)
         if due_at - started_at >= load.seconds:
             break
--- a/cowslipmill/launch/launcher.py
+++ b/cowslipmill/launch/launcher.py
@@ -65,6 +65,10 @@
         """Sends a signal to one process."""
         self.processes[name].send_signal(number)
 
+    def is_running(self, name: str) -> bool:
+        """Tells whether a process has not ended yet."""
+        return self.processes[name].poll() is None
+
     def wait(self, name: str) -> int:
         """Waits for the end of one process and returns its status."""
         return self.processes[name].wait(STOP_BOUND_S)
