Bound and check what callers send, and drain an entry gracefully

Cause: compressed bodies were decoded but passed on as compressed, dot segments could choose another route than the server sees, heads could stall for ever, expectations went on to servers, a stop cut requests.

Ruled out: checking Host and Content-Length ambiguities here, as the library's parser already refuses them (its cases are in the test list); a request line with two spaces is read leniently and written anew, which RFC 9112 allows.

Change: CallerConnection bounds heads, unsent answers and connections; requesthead refuses targets and codings that servers may read otherwise; 100-continue is met here; Via and Forwarded are merged; errors of this process end as unknown once dispatched, else not run; Listener.drain lets requests finish within a bound and tells the rest its outcome; keep-alive callers are told to close from the moment readiness is off.

Each mechanism taken out in turn fails its case: target check, coding check, HTTP/1.0 coding, decompression, cutting, the cut at a stop, 100-continue, error handling.

--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -34,6 +34,7 @@
         self.random = random
         self.rules = Rules()
         self.stopping = False
+        self.listener: Listener | None = None
 
     async def on_start(self) -> None:
         """Starts the parts, the caller's side last."""
@@ -61,9 +62,11 @@
 
     async def stop(self) -> None:
         """Fails readiness, waits for the balancer in front, then stops."""
-        if self.started and not self.stopping:
+        if self.listener is not None and not self.stopping:
             self.stopping = True
+            self.listener.stopping = True
             await sleep(self.settings.readiness_wait_ms / 1000)
+            await self.listener.drain(self.settings.stop_bound_ms / 1000)
         await super().stop()
 
     def is_ready(self) -> bool:
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -1,33 +1,57 @@
 """Receives requests from callers and answers them."""
 
+from asyncio import CancelledError
+from asyncio import current_task
+from asyncio import Event
+from asyncio import Task
 from asyncio import timeout
 from collections.abc import Callable
+from typing import Any
 
 from aiohttp.web import BaseRequest
 from aiohttp.web import Response
-from aiohttp.web import Server
 from aiohttp.web import ServerRunner
 from aiohttp.web import TCPSite
 from mode import Service
 from multidict import CIMultiDict
 
 from cowslipmill.document.document import Route
+from cowslipmill.entry.connection import CallerConnection
+from cowslipmill.entry.connection import CallerServer
 from cowslipmill.entry.dispatcher import Dispatcher
+from cowslipmill.entry.metrics import INTERNAL_ERRORS
+from cowslipmill.entry.metrics import REQUEST_DURATION
 from cowslipmill.entry.metrics import REQUESTS
+from cowslipmill.entry.metrics import REQUESTS_IN_FLIGHT
+from cowslipmill.entry.requestbody import read_body
+from cowslipmill.entry.requesthead import end_to_end_headers
+from cowslipmill.entry.requesthead import find_fault
+from cowslipmill.entry.requesthead import read_deadline_ms
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import OutgoingRequest
-from cowslipmill.outcomes.headers import DEADLINE_HEADER
-from cowslipmill.outcomes.headers import HOP_BY_HOP
+from cowslipmill.outcomes.outcome import Answered
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
 from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.outcomes.outcome import Unknown
 from cowslipmill.outcomes.rendering import render
 from cowslipmill.runtime.address import split_address
 from cowslipmill.runtime.program import CannotListen
 
-BODY_TIMEOUT_S = 10.0
 RETRY_AFTER_MS = 1_000
-VIA = '1.1 cowslipmill'
+SWEEP_INTERVAL_S = 1.0
+BACKLOG = 1_024
+SERVER_NAME = 'cowslipmill'
+CLOSE_BOUND_S = 2.0
+# After these the rest of the caller's bytes cannot be trusted.
+CLOSING_REASONS = frozenset(
+    (
+        Reason.BAD_REQUEST,
+        Reason.REQUEST_TOO_LARGE,
+        Reason.SLOW_CALLER,
+        Reason.STOPPING,
+    )
+)
 
 
 class Listener(Service):
@@ -36,6 +60,10 @@
     Attributes:
         rules: What is in force.
         dispatcher: Serves the requests.
+        stopping: Whether callers are told to close their connections.
+        cutting: Whether requests in flight are ended without their answer.
+        dispatching: Tasks of the requests in flight, each with whether it
+            was handed to the dispatcher.
     """
 
     def __init__(
@@ -51,6 +79,10 @@
         self.rules = rules
         self.dispatcher = dispatcher
         self.clock = clock
+        self.stopping = False
+        self.cutting = False
+        self.dispatching: dict[Task[Any], bool] = {}
+        self.idle = Event()
 
     async def on_start(self) -> None:
         """Listens.
@@ -58,97 +90,159 @@
         Raises:
             CannotListen: If the address is taken.
         """
-        server = Server(self.handle, handler_cancellation=True)
-        self.runner = ServerRunner(server, access_log=None)
+        self.server = CallerServer(self.handle, self.refuse, self.clock)
+        self.runner = ServerRunner(
+            self.server, access_log=None, shutdown_timeout=CLOSE_BOUND_S
+        )
         await self.runner.setup()
         host, port = split_address(self.address)
+        site = TCPSite(self.runner, host, port, backlog=BACKLOG)
         try:
-            await TCPSite(self.runner, host, port).start()
+            await site.start()
         except OSError as error:
             raise CannotListen('listen', self.address, error) from error
 
+    @Service.task
+    async def sweep(self) -> None:
+        """Closes the connections of callers that hold them up."""
+        while not self.should_stop:
+            await self.sleep(SWEEP_INTERVAL_S)
+            self.server.cut_stalled(self.clock())
+
+    async def drain(self, bound_s: float) -> None:
+        """Stops accepting and ends every request in flight.
+
+        Args:
+            bound_s: How long requests may take to get their answers; what
+                is left then is told its outcome as known so far.
+        """
+        self.stopping = True
+        for site in list(self.runner.sites):
+            await site.stop()
+        self.idle.clear()
+        try:
+            async with timeout(bound_s):
+                while self.dispatching:
+                    await self.idle.wait()
+                    self.idle.clear()
+        except TimeoutError:
+            self.cutting = True
+            for task in list(self.dispatching):
+                task.cancel()
+
     async def on_stop(self) -> None:
-        """Stops listening once the requests in flight have ended."""
+        """Closes every connection once its last answer is sent."""
         await self.runner.cleanup()
 
     async def handle(self, request: BaseRequest) -> Response:
         """Serves one request."""
         arrived_at = self.clock()
-        route = self.find_route(request)
-        if isinstance(route, NotRun):
-            outcome: Outcome = route
-        else:
-            outcome = await self.serve(request, route, arrived_at)
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.begin_request()
+        task = current_task()
+        assert task is not None
+        self.dispatching[task] = False
+        REQUESTS_IN_FLIGHT.inc()
+        try:
+            route = self.find_route(request, connection)
+            outcome = await self.settle(request, route, arrived_at, task)
+        finally:
+            connection.end_request()
+            REQUESTS_IN_FLIGHT.dec()
+            del self.dispatching[task]
+            if not self.dispatching:
+                self.idle.set()
         name = route.name if isinstance(route, Route) else ''
-        REQUESTS.labels(name, type(outcome).__name__.lower()).inc()
+        REQUEST_DURATION.labels(name).observe(self.clock() - arrived_at)
+        return self.answer(name, outcome)
+
+    async def settle(
+        self,
+        request: BaseRequest,
+        route: Route | NotRun,
+        arrived_at: float,
+        task: 'Task[Any]',
+    ) -> Outcome:
+        """Returns the outcome, whatever happens to this process."""
+        if isinstance(route, NotRun):
+            return route
+        try:
+            return await self.serve(request, route, arrived_at, task)
+        except CancelledError:
+            if not self.cutting:
+                raise
+            task.uncancel()
+            return self.outcome_so_far(task, Reason.STOPPING)
+        except Exception:
+            INTERNAL_ERRORS.inc()
+            return self.outcome_so_far(task, Reason.INTERNAL_ERROR)
+
+    def outcome_so_far(self, task: 'Task[Any]', reason: Reason) -> Outcome:
+        """Returns the honest outcome of a request that is cut short."""
+        if self.dispatching[task]:
+            return Unknown(reason, RETRY_AFTER_MS)
+        return NotRun(reason, RETRY_AFTER_MS)
+
+    def refuse(self, refusal: NotRun) -> Response:
+        """Returns the answer to a request without a route, and counts it."""
+        return self.answer('', refusal)
+
+    def answer(self, route: str, outcome: Outcome) -> Response:
+        """Returns the answer that tells an outcome, and counts it."""
         rendered = render(outcome)
-        return Response(
+        answer = Response(
             status=rendered.status,
             headers=CIMultiDict(rendered.headers),
             body=rendered.body,
         )
-
-    def find_route(self, request: BaseRequest) -> Route | NotRun:
+        answer.headers.setdefault('Server', SERVER_NAME)
+        if isinstance(outcome, Answered):
+            REQUESTS.labels(route, 'answered', '').inc()
+        else:
+            label = 'not-run' if isinstance(outcome, NotRun) else 'unknown'
+            REQUESTS.labels(route, label, outcome.reason.value).inc()
+            if outcome.reason in CLOSING_REASONS:
+                answer.force_close()
+        if self.stopping:
+            answer.force_close()
+        return answer
+
+    def find_route(
+        self, request: BaseRequest, connection: CallerConnection
+    ) -> Route | NotRun:
         """Returns the route, or the refusal."""
+        if connection.surplus:
+            return NotRun(Reason.OVERLOADED, RETRY_AFTER_MS)
+        fault = find_fault(request)
+        if fault is not None:
+            return fault
         if self.rules.document is None:
             return NotRun(Reason.NO_CONFIGURATION, RETRY_AFTER_MS)
         host = request.headers.get('Host', '').partition(':')[0].lower()
-        path = request.path_qs.partition('?')[0]
+        path = request.raw_path.partition('?')[0]
         route = self.rules.routes.find(host, request.method, path)
         return route or NotRun(Reason.NO_ROUTE, RETRY_AFTER_MS)
 
     async def serve(
-        self, request: BaseRequest, route: Route, arrived_at: float
+        self,
+        request: BaseRequest,
+        route: Route,
+        arrived_at: float,
+        task: 'Task[Any]',
     ) -> Outcome:
         """Reads the body and has the request served."""
         body = await read_body(request, route.max_request_bytes)
         if isinstance(body, NotRun):
             return body
-        deadline_ms = route.deadline_ms
-        asked = request.headers.get(DEADLINE_HEADER, '')
-        if asked.isdecimal():
-            deadline_ms = min(deadline_ms, int(asked))
         outgoing = OutgoingRequest(
             request.method,
-            request.path_qs,
+            request.raw_path,
             end_to_end_headers(request),
             body,
             route.max_answer_bytes,
         )
+        deadline_ms = read_deadline_ms(request, route.deadline_ms)
         deadline_at = arrived_at + deadline_ms / 1000
+        self.dispatching[task] = True
         return await self.dispatcher.dispatch(route, outgoing, deadline_at)
-
-
-async def read_body(request: BaseRequest, max_bytes: int) -> bytes | NotRun:
-    """Reads the whole body within its size and time bounds."""
-    if not request.body_exists:
-        return b''
-    if (request.content_length or 0) > max_bytes:
-        return NotRun(Reason.REQUEST_TOO_LARGE, 0)
-    parts = []
-    size = 0
-    try:
-        async with timeout(BODY_TIMEOUT_S):
-            async for part in request.content.iter_any():
-                size += len(part)
-                if size > max_bytes:
-                    return NotRun(Reason.REQUEST_TOO_LARGE, 0)
-                parts.append(part)
-    except TimeoutError:
-        return NotRun(Reason.SLOW_CALLER, RETRY_AFTER_MS)
-    return b''.join(parts)
-
-
-def end_to_end_headers(request: BaseRequest) -> CIMultiDict[str]:
-    """Returns the headers that go on to the server."""
-    named = request.headers.get('Connection', '').lower().split(',')
-    dropped = HOP_BY_HOP | {name.strip() for name in named}
-    headers = CIMultiDict(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in dropped and name.lower() != 'content-length'
-    )
-    headers.add('Via', VIA)
-    if request.remote:
-        headers.add('Forwarded', f'for="{request.remote}"')
-    return headers
--- /dev/null
+++ b/cowslipmill/entry/requesthead.py
@@ -0,0 +1,95 @@
+"""Checks the head of a request and makes the headers that go on."""
+
+import re
+
+from aiohttp import HttpVersion10
+from aiohttp.web import BaseRequest
+from multidict import CIMultiDict
+
+from cowslipmill.outcomes.headers import DEADLINE_HEADER
+from cowslipmill.outcomes.headers import HOP_BY_HOP
+from cowslipmill.outcomes.outcome import NotRun
+from cowslipmill.outcomes.outcome import Reason
+
+VIA = '1.1 cowslipmill'
+CHUNKED = 'chunked'
+CONTINUE = '100-continue'
+MAX_DEADLINE_DIGITS = 9
+
+ORIGIN_FORM = re.compile(r'/[!-~]*', re.ASCII)
+FORBIDDEN_IN_TARGET = re.compile(
+    r'#|\\|/(?:\.|%2e){1,2}(?:[/?]|$)', re.IGNORECASE
+)
+DROPPED = HOP_BY_HOP | {
+    'content-length',
+    'expect',
+    DEADLINE_HEADER.lower(),
+    'via',
+    'forwarded',
+}
+
+
+def find_fault(request: BaseRequest) -> NotRun | None:
+    """Returns the refusal of a request with an ambiguous head, or None.
+
+    Servers may read such a head differently than this process does.
+    """
+    headers = request.headers
+    target = request.raw_path
+    if not ORIGIN_FORM.fullmatch(target):
+        return refuse('the target is not in origin form')
+    if FORBIDDEN_IN_TARGET.search(target):
+        return refuse('the target holds a dot segment, # or backslash')
+    coding = headers.get('Transfer-Encoding')
+    if coding is not None:
+        if request.version <= HttpVersion10 or 'Content-Length' in headers:
+            return refuse('Transfer-Encoding stands beside its rival')
+        if coding.strip().lower() != CHUNKED:
+            return refuse('the only transfer coding taken is chunked')
+    if headers.get('Expect', CONTINUE).lower() != CONTINUE:
+        return refuse('the only expectation met is 100-continue')
+    return None
+
+
+def refuse(detail: str) -> NotRun:
+    """Returns the refusal of a malformed request."""
+    return NotRun(Reason.BAD_REQUEST, 0, detail)
+
+
+def read_deadline_ms(request: BaseRequest, bound_ms: int) -> int:
+    """Returns how long the caller waits, at most the bound."""
+    asked = request.headers.get(DEADLINE_HEADER)
+    if asked is None or len(asked) > MAX_DEADLINE_DIGITS:
+        return bound_ms
+    if not (asked.isascii() and asked.isdecimal()):
+        return bound_ms
+    return min(bound_ms, int(asked))
+
+
+def end_to_end_headers(request: BaseRequest) -> CIMultiDict[str]:
+    """Returns the headers that go on to the server."""
+    received = request.headers
+    dropped = DROPPED
+    connection = received.get('Connection')
+    if connection is not None:
+        named = connection.lower().split(',')
+        dropped = dropped.union(name.strip() for name in named)
+    headers = CIMultiDict(
+        [
+            (name, value)
+            for name, value in received.items()
+            if name.lower() not in dropped
+        ]
+    )
+    headers['Via'] = ', '.join((*received.getall('Via', ()), VIA))
+    forwarded = received.getall('Forwarded', ())
+    headers['Forwarded'] = ', '.join((*forwarded, forwarded_element(request)))
+    return headers
+
+
+def forwarded_element(request: BaseRequest) -> str:
+    """Returns what this hop adds to `Forwarded`."""
+    address = request.remote or 'unknown'
+    if ':' in address:
+        address = f'"[{address}]"'
+    return f'for={address};proto=http'
--- a/cowslipmill/outcomes/outcome.py
+++ b/cowslipmill/outcomes/outcome.py
@@ -33,6 +33,7 @@
     KEY_REUSED = 'key-reused'
     KEY_INVALID = 'key-invalid'
     STALE_VIEW = 'stale-view'
+    INTERNAL_ERROR = 'internal-error'
 
 
 @dataclass(frozen=True, slots=True)
