Compare, rebase and scope documents by team

The console must show what changes, ask again where it is dangerous, let a later operator rebase and keep a team to its own sections.

Ruled out: a draft as a whole document, which hides whose change is whose once a newer version is in force. A difference carries the values it starts from, so a conflict shows without the base document, on any console.

Dangers of routes are found by sampling requests from the patterns of both documents, so that a renamed or a narrower route is seen too.

The property 'applying a difference gives the other document' was seen to fail while fields kept tuples that JSON turns into lists.

--- /dev/null
+++ b/cowslipmill/document/tests/test_difference.py
@@ -0,0 +1,217 @@
+"""Tests of differences, dangers and team sections."""
+
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies
+from msgspec import json
+from msgspec.structs import replace
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+
+from cowslipmill.document.checker import decode_document
+from cowslipmill.document.danger import DeadlineCut
+from cowslipmill.document.danger import find_dangers
+from cowslipmill.document.danger import MarkRemoved
+from cowslipmill.document.danger import NoServers
+from cowslipmill.document.danger import RouteRemoved
+from cowslipmill.document.danger import RouteTaken
+from cowslipmill.document.difference import compare_documents
+from cowslipmill.document.difference import Difference
+from cowslipmill.document.difference import items_by_name
+from cowslipmill.document.difference import Section
+from cowslipmill.document.document import Document
+from cowslipmill.document.document import Priority
+from cowslipmill.document.document import Route
+from cowslipmill.document.problem import InvalidDocument
+from cowslipmill.document.rebase import apply_difference
+from cowslipmill.document.sections import merge_team_sections
+from cowslipmill.launch.layout import EXAMPLES
+
+CARONI = decode_document((EXAMPLES / 'caroni' / 'document.json').read_bytes())
+
+ROUTES = strategies.lists(
+    strategies.builds(
+        Route,
+        name=strategies.sampled_from([route.name for route in CARONI.routes])
+        | strategies.from_regex(r'^[a-c]{1,2}\Z'),
+        team=strategies.sampled_from([team.name for team in CARONI.teams]),
+        service=strategies.sampled_from(['registry', 'scheduler']),
+        methods=strategies.sampled_from([('GET',), ('POST', 'PUT')]),
+        path=strategies.sampled_from(['/a', '/exams', '/b/{id}']),
+        idempotent=strategies.booleans(),
+        deadline_ms=strategies.integers(1, 9_000),
+        priority=strategies.sampled_from(Priority),
+        host=strategies.just('*'),
+        max_request_bytes=strategies.integers(0, 99),
+        max_answer_bytes=strategies.integers(0, 99),
+    ),
+    max_size=6,
+    unique_by=lambda route: route.name,
+).map(tuple)
+DOCUMENTS = strategies.builds(
+    lambda routes, memory_ms: replace(
+        CARONI, routes=routes, resend_memory_ms=memory_ms
+    ),
+    ROUTES,
+    strategies.integers(1_000, 9_000),
+)
+
+
+def contents(document: Document) -> Any:
+    """Returns what a document holds, whatever its version and order."""
+    sections = [items_by_name(document, section) for section in Section]
+    return [*sections, document.resend_memory_ms]
+
+
+def change_route(name: str, /, **fields: Any) -> Document:
+    """Returns the example with one route changed."""
+    return replace(
+        CARONI,
+        routes=tuple(
+            replace(route, **fields) if route.name == name else route
+            for route in CARONI.routes
+        ),
+    )
+
+
+@given(DOCUMENTS, DOCUMENTS)
+def test_applying_a_difference_gives_the_other_document(
+    before: Document, after: Document
+) -> None:
+    """A difference, also after encoding, leads to the other document."""
+    raw = json.encode(compare_documents(before, after))
+    applied = apply_difference(before, json.decode(raw, type=Difference))
+    assert_that(contents(applied.document), Equals(contents(after)))
+    assert_that(applied.conflicts, Equals(()))
+    assert_that(applied.document.version, Equals(before.version + 1))
+
+
+@given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
+def test_rebase_keeps_own_changes_and_names_each_overridden_one(
+    base: Document, mine: Document, theirs: Document
+) -> None:
+    """Nothing of another operator's is lost without a conflict."""
+    own = compare_documents(base, mine)
+    try:
+        applied = apply_difference(theirs, own)
+    except InvalidDocument:
+        return
+    again = apply_difference(applied.document, own)
+    assert_that(contents(again.document), Equals(contents(applied.document)))
+    if applied.conflicts:
+        return
+    changed = {(change.section, change.name) for change in own.changes}
+    kept = compare_documents(theirs, applied.document).changes
+    touched = {(change.section, change.name) for change in kept}
+    assert_that(touched - changed, Equals(set()))
+
+
+def test_the_same_field_changed_twice_is_a_conflict() -> None:
+    """The value in force, the old one and the own one are all named."""
+    own = compare_documents(
+        CARONI, change_route('book-exam', deadline_ms=7_000)
+    )
+    theirs = change_route('book-exam', deadline_ms=6_000, max_request_bytes=1)
+    applied = apply_difference(theirs, own)
+    conflict = applied.conflicts[0]
+    assert_that(
+        (conflict.base, conflict.theirs, conflict.mine),
+        Equals((5_000, 6_000, 7_000)),
+    )
+    routes = items_by_name(applied.document, Section.ROUTES)
+    route = routes['book-exam']
+    assert isinstance(route, Route)
+    assert_that(route.max_request_bytes, Equals(1))
+
+
+def test_a_route_removed_by_another_operator_is_a_conflict() -> None:
+    """A change of a route that is gone is not applied in silence."""
+    own = compare_documents(
+        CARONI, change_route('book-exam', deadline_ms=7_000)
+    )
+    theirs = replace(
+        CARONI,
+        routes=tuple(r for r in CARONI.routes if r.name != 'book-exam'),
+    )
+    with pytest.raises(InvalidDocument):
+        apply_difference(theirs, own)
+
+
+@given(strategies.sampled_from(CARONI.teams), ROUTES)
+def test_a_team_never_changes_other_sections(
+    team: Any, routes: tuple[Route, ...]
+) -> None:
+    """Merging one team's sections leaves every other team's as they were."""
+    services = tuple(s for s in CARONI.services if s.team == team.name)
+    try:
+        merged = merge_team_sections(
+            CARONI, team.name, services=services, routes=routes
+        )
+    except InvalidDocument:
+        return
+    others = [r for r in CARONI.routes if r.team != team.name]
+    kept = [r for r in merged.routes if r.team != team.name]
+    assert_that(kept, Equals(others))
+    assert_that(merged.services, Equals(CARONI.services))
+
+
+def test_a_team_may_not_take_another_teams_route() -> None:
+    """A route under another team's name or owner is refused."""
+    own = [r for r in CARONI.routes if r.team == 'standing']
+    stolen = replace(CARONI.routes[3], team='standing')
+    foreign = replace(CARONI.routes[3], name='other', path='/other')
+    for route in (stolen, foreign):
+        with pytest.raises(InvalidDocument) as caught:
+            merge_team_sections(
+                CARONI,
+                'standing',
+                services=(CARONI.services[0],),
+                routes=(*own, route),
+            )
+        assert_that(str(caught.value), Contains("'examinations'"))
+
+
+def test_each_danger_is_found() -> None:
+    """A changed mark, a lost route and a shorter deadline are dangers."""
+    renamed = change_route('book-exam', name='x', idempotent=True)
+    assert_that(
+        find_dangers(CARONI, renamed, None),
+        Equals((MarkRemoved('book-exam', 'x'),)),
+    )
+    cut = change_route('list-exams', deadline_ms=1)
+    assert_that(
+        find_dangers(CARONI, cut, None),
+        Equals((DeadlineCut('list-exams', 2_000, 1),)),
+    )
+    removed = replace(CARONI, routes=CARONI.routes[1:])
+    assert_that(
+        find_dangers(CARONI, removed, None),
+        Equals((RouteRemoved('check-standing'),)),
+    )
+    counts = {'registry': 1, 'scheduler': 1, 'credentials': 0}
+    assert_that(
+        find_dangers(CARONI, CARONI, counts),
+        Equals((NoServers('credentials'),)),
+    )
+
+
+def test_a_narrower_idempotent_route_is_a_danger() -> None:
+    """A new route that matches part of a non-idempotent one is seen."""
+    narrower = replace(
+        CARONI.routes[3],
+        name='book-first',
+        team='standing',
+        path='/exams/1/bookings',
+        idempotent=True,
+    )
+    after = replace(CARONI, routes=(*CARONI.routes, narrower))
+    dangers = find_dangers(CARONI, after, None)
+    assert_that(dangers, HasLength(2))
+    assert_that(dangers, Contains(MarkRemoved('book-exam', 'book-first')))
+    assert_that(
+        dangers, Contains(RouteTaken('book-exam', 'book-first', 'standing'))
+    )
--- a/cowslipmill/settings/settings.py
+++ b/cowslipmill/settings/settings.py
@@ -66,3 +66,50 @@
     peers: tuple[Address, ...] = ()
     traces: TraceSettings = field(default_factory=TraceSettings)
     stop_bound_ms: DurationMs = 10_000
+
+
+class TokenSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A token for the console and its API.
+
+    Attributes:
+        name: Who uses it; shown to other operators.
+        team: The one team that it may change, or None for every team.
+        secret: What the operator signs in with.
+    """
+
+    name: Name
+    secret: PeerKey
+    team: Name | None = None
+
+
+class ConsoleSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of a console.
+
+    Consoles that share `signing_keys` take over each other's drafts: the
+    first signs, all are accepted. `secure_cookies` needs TLS in front.
+
+    Attributes:
+        name: Name of the process in logs.
+        deployment: The deployment that it configures.
+        listen: Where it serves forms and API.
+        platform: Where it reads the document in force and the host list.
+        agents: Administration addresses of the agents.
+        tokens: Who may sign in.
+        signing_keys: Keys for drafts and sessions.
+        secure_cookies: Whether browsers send cookies over TLS only.
+        session_ms: How long a sign-in lasts.
+    """
+
+    name: Name
+    deployment: Name
+    listen: Address
+    platform: Url
+    agents: tuple[Address, ...]
+    tokens: Annotated[tuple[TokenSettings, ...], Meta(min_length=1)]
+    signing_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    secure_cookies: bool = True
+    session_ms: Annotated[int, Meta(ge=60_000, le=86_400_000)] = 28_800_000
