Publish JSON Schemas and check every kind of file

Operators need the reference, the schemas and the examples to agree with the code. The pages and schemas are made from the structs by one tool, and a test fails when a committed file differs from what would be made.

An unreadable file is a fault of the command line (status 2), one with faults inside is invalid (status 1); both took status 1 before.

--- a/cowslipmill/check/main.py
+++ b/cowslipmill/check/main.py
@@ -3,8 +3,10 @@
 from pathlib import Path
 
 from absl import flags
-from msgspec import Struct
 
+from cowslipmill.check.kinds import DOCUMENT_KIND
+from cowslipmill.check.kinds import FILE_KINDS
+from cowslipmill.check.kinds import SETTINGS_KINDS
 from cowslipmill.document.checker import decode_document
 from cowslipmill.document.problem import InvalidDocument
 from cowslipmill.document.problem import Problem
@@ -12,13 +14,6 @@
 from cowslipmill.runtime.program import UsageError
 from cowslipmill.settings.loader import InvalidSettings
 from cowslipmill.settings.loader import load_settings
-from cowslipmill.settings.settings import AgentSettings
-from cowslipmill.settings.settings import EntrySettings
-
-SETTINGS_KINDS: dict[str, type[Struct]] = {
-    'agent': AgentSettings,
-    'entry': EntrySettings,
-}
 
 
 def find_problems(kind: str, path: Path) -> tuple[Problem, ...]:
@@ -29,22 +24,34 @@
         path: The JSON file.
     """
     try:
-        if kind == 'document':
+        if kind == DOCUMENT_KIND:
             decode_document(path.read_bytes())
         else:
             load_settings(path, SETTINGS_KINDS[kind])
-    except OSError as error:
-        return (Problem(str(path), error.strerror or str(error)),)
     except (InvalidDocument, InvalidSettings) as error:
         return error.problems
     return ()
 
 
+def require_readable(path: Path) -> None:
+    """Reads a first byte of the file.
+
+    Raises:
+        UsageError: If it cannot be read.
+    """
+    try:
+        with path.open('rb') as stream:
+            stream.read(1)
+    except OSError as error:
+        raise UsageError(f'{path}: {error.strerror}') from error
+
+
 def main(arguments: list[str]) -> int:
     """Checks a document or a settings file and prints every fault."""
     if len(arguments) != 2:
         raise UsageError('give exactly one file to check')
     path = Path(arguments[1])
+    require_readable(path)
     problems = find_problems(flags.FLAGS.kind, path)
     for problem in problems:
         print(f'{path}: {problem}')
@@ -57,8 +64,8 @@
     """Starts the program from the command line."""
     flags.DEFINE_enum(
         'kind',
-        'document',
-        ['document', *SETTINGS_KINDS],
+        DOCUMENT_KIND,
+        list(FILE_KINDS),
         'What the file is to be checked as.',
     )
     run_program(main)
--- /dev/null
+++ b/cowslipmill/check/tests/test_check.py
@@ -0,0 +1,179 @@
+"""Tests of the offline check, run as an operator runs it."""
+
+from dataclasses import dataclass
+import json
+from pathlib import Path
+from subprocess import run
+import sys
+from typing import Any
+
+from jsonschema import Draft202012Validator
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+from testtools.matchers import Not
+
+from cowslipmill.check.kinds import FILE_KINDS
+from cowslipmill.check.kinds import SETTINGS_KINDS
+from cowslipmill.check.schemas import find_stale_files
+from cowslipmill.check.schemas import make_schema
+from cowslipmill.launch.layout import EXAMPLES
+
+DOCS = EXAMPLES.parent / 'docs'
+DEPLOYMENTS = ('caroni', 'mtatsminda')
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What a program left behind."""
+
+    status: int
+    output: list[str]
+    errors: list[str]
+
+
+def run_program(program: str, *arguments: str) -> Ended:
+    """Runs a program to its end."""
+    code = f'from cowslipmill.{program}.main import run; run()'
+    ended = run(
+        [sys.executable, '-c', code, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert_that(ended.stderr, Not(Contains('Traceback')))
+    return Ended(
+        ended.returncode,
+        ended.stdout.splitlines(),
+        ended.stderr.splitlines(),
+    )
+
+
+def read_example(kind: str, deployment: str = 'caroni') -> Any:
+    """Returns an example file as JSON values."""
+    return json.loads((EXAMPLES / deployment / f'{kind}.json').read_bytes())
+
+
+@pytest.mark.parametrize('deployment', DEPLOYMENTS)
+@pytest.mark.parametrize('kind', FILE_KINDS)
+def test_examples_are_valid(kind: str, deployment: str) -> None:
+    """Each example passes the check and the published schema."""
+    path = EXAMPLES / deployment / f'{kind}.json'
+    ended = run_program('check', f'--kind={kind}', str(path))
+    assert_that(ended, Equals(Ended(0, [f'{path}: valid {kind}'], [])))
+    content = read_example(kind, deployment)
+    schema = json.loads(json.dumps(make_schema(FILE_KINDS[kind])))
+    Draft202012Validator(schema).validate(content)
+
+
+def test_generated_files_are_up_to_date() -> None:
+    """The committed schemas and pages are what the tool makes now."""
+    assert_that(find_stale_files(DOCS), Equals([]))
+
+
+@pytest.mark.parametrize('kind', SETTINGS_KINDS)
+def test_every_fault_of_a_settings_file_is_named(
+    kind: str, tmp_path: Path
+) -> None:
+    """A wrong type, an unknown key and a missing one are all reported."""
+    content = read_example(kind)
+    content['colour'] = 'red'
+    content['deployment'] = 7
+    del content['name' if kind != 'agent' else 'host']
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(content))
+    ended = run_program('check', f'--kind={kind}', str(path))
+    missing = 'name' if kind != 'agent' else 'host'
+    assert_that(ended.status, Equals(1))
+    assert_that(
+        sorted(ended.output),
+        Equals(
+            [
+                f'{path}: $.colour: unknown field',
+                f'{path}: $.deployment: Expected `str`, got `int`',
+                f'{path}: $.{missing}: required field is missing',
+            ]
+        ),
+    )
+
+
+def test_every_fault_of_a_document_is_named(tmp_path: Path) -> None:
+    """Faults that cross fields are reported together."""
+    content = read_example('document')
+    content['base'] = 5
+    content['routes'][0]['service'] = 'nowhere'
+    content['services'][1]['team'] = 'nobody'
+    path = tmp_path / 'document.json'
+    path.write_text(json.dumps(content))
+    ended = run_program('check', str(path))
+    assert_that(ended.status, Equals(1))
+    assert_that(
+        ended.output,
+        Equals(
+            [
+                f'{path}: $.base: must be lower than version 1',
+                f"{path}: $.services[1].team: no team is named 'nobody'",
+                f"{path}: $.routes[0].service: no service is named 'nowhere'",
+            ]
+        ),
+    )
+
+
+@pytest.mark.parametrize('text', ['', '{', 'null', '[1]', '\x00', '9' * 5000])
+def test_text_that_is_no_document_is_one_clear_line(
+    text: str, tmp_path: Path
+) -> None:
+    """Any file ends with one line and status 1."""
+    path = tmp_path / 'document.json'
+    path.write_text(text)
+    ended = run_program('check', str(path))
+    assert_that(ended.status, Equals(1))
+    assert_that(ended.output, HasLength(1))
+    assert_that(ended.output[0], Contains(f'{path}: $: '))
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'words'),
+    [
+        ([], 'give exactly one file to check'),
+        (['a', 'b'], 'give exactly one file to check'),
+        (['--colour=red', 'a'], "Unknown command line flag 'colour'"),
+        (['--kind=tree', 'a'], 'flag --kind=tree'),
+        (['/nowhere/at/all.json'], 'No such file or directory'),
+        (['/'], 'Is a directory'),
+    ],
+)
+def test_wrong_use_of_the_check_is_one_line_and_status_two(
+    arguments: list[str], words: str
+) -> None:
+    """A fault of the command line is told from a fault of the file."""
+    ended = run_program('check', *arguments)
+    assert_that(ended.status, Equals(2))
+    assert_that(ended.errors, HasLength(1))
+    assert_that(ended.errors[0], Contains(words))
+
+
+@pytest.mark.parametrize('program', SETTINGS_KINDS)
+def test_bad_settings_end_a_program_with_one_line_and_status_two(
+    program: str, tmp_path: Path
+) -> None:
+    """Each program names the field and the reason, and starts nothing."""
+    wrong = read_example(program)
+    wrong['deployment'] = 7
+    wrong['colour'] = 'red'
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(wrong))
+    cases = {
+        '--colour=red': "Unknown command line flag 'colour'",
+        '--settings=/nowhere.json': 'No such file or directory',
+        f'--settings={path}': '$.colour: unknown field',
+        '--settings=': 'Is a directory',
+    }
+    for argument, words in cases.items():
+        ended = run_program(program, argument)
+        assert_that(ended.status, Equals(2))
+        assert_that(ended.errors, HasLength(1))
+        assert_that(ended.errors[0], Contains(words))
--- /dev/null
+++ b/cowslipmill/console/__init__.py
@@ -0,0 +1,1 @@
+"""Forms and administration API for operators."""
--- /dev/null
+++ b/cowslipmill/status/__init__.py
@@ -0,0 +1,1 @@
+"""What each host of a deployment has in force."""
