Serve forms, the administration API and the status program

Operators need the whole way from a form to a document in force without writing JSON by hand, and to see host by host what is in force.

The console keeps nothing: the draft is a signed difference in the form itself, so any console with the same keys goes on with it. Ruled out: a draft store (hosts keep nothing) and a draft as a whole document (it hides which side changed what once another version is in force).

--- a/cowslipmill/document/rebase.py
+++ b/cowslipmill/document/rebase.py
@@ -114,6 +114,39 @@
     )
 
 
+def keep_bases(difference: Difference, older: Difference) -> Difference:
+    """Returns a difference whose fields start where an older one does.
+
+    A draft that goes on after a newer document came into force would else
+    forget which values it once started from, and hide its conflicts.
+
+    Args:
+        difference: From the document in force to the draft.
+        older: The draft's difference before its last edit.
+    """
+    before = {
+        (change_place(change), field.field): field.before
+        for change in older.changes
+        for field in change.fields
+    }
+    changes = tuple(
+        replace(
+            change,
+            fields=tuple(
+                replace(
+                    field,
+                    before=before.get(
+                        (change_place(change), field.field), field.before
+                    ),
+                )
+                for field in change.fields
+            ),
+        )
+        for change in difference.changes
+    )
+    return replace(difference, base=older.base, changes=changes)
+
+
 def change_place(change: Change) -> str:
     """Returns section and name of a changed item."""
     return f'{change.section.value} {change.name}'
--- a/cowslipmill/settings/settings.py
+++ b/cowslipmill/settings/settings.py
@@ -98,6 +98,7 @@
         listen: Where it serves forms and API.
         platform: Where it reads the document in force and the host list.
         agents: Administration addresses of the agents.
+        entries: Administration addresses of entries, for the fleet page.
         tokens: Who may sign in.
         signing_keys: Keys for drafts and sessions.
         secure_cookies: Whether browsers send cookies over TLS only.
@@ -109,6 +110,7 @@
     listen: Address
     platform: Url
     agents: tuple[Address, ...]
+    entries: tuple[Address, ...] = ()
     tokens: Annotated[tuple[TokenSettings, ...], Meta(min_length=1)]
     signing_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
     secure_cookies: bool = True
--- /dev/null
+++ b/cowslipmill/status/standing.py
@@ -0,0 +1,76 @@
+"""Where each host stands with one version of the document."""
+
+from collections import Counter
+from collections.abc import Iterable
+from enum import Enum
+from functools import singledispatch
+
+from cowslipmill.status.collector import HostAnswer
+from cowslipmill.status.collector import HostReport
+from cowslipmill.status.collector import NoAnswer
+
+
+class Standing(Enum):
+    """What a host has done with a version."""
+
+    IN_FORCE = 'in force'
+    WAITING = 'not yet in force'
+    REFUSED = 'refused'
+    OVERTAKEN = 'overtaken'
+    NO_ANSWER = 'no answer'
+
+
+@singledispatch
+def find_standing(answer: HostAnswer, version: int, digest: str) -> Standing:
+    """Returns where a host stands with a document.
+
+    Args:
+        answer: The host's answer.
+        version: Version of the document.
+        digest: Digest of its bytes.
+    """
+    raise TypeError(f'not an answer: {answer!r}')
+
+
+@find_standing.register
+def find_report_standing(
+    answer: HostReport, version: int, digest: str
+) -> Standing:
+    """Compares with what the host has in force."""
+    status = answer.status
+    if (status.version, status.digest) == (version, digest):
+        return Standing.IN_FORCE
+    if status.version >= version:
+        return Standing.OVERTAKEN
+    if any(refused.digest == digest for refused in status.refused):
+        return Standing.REFUSED
+    return Standing.WAITING
+
+
+@find_standing.register
+def find_no_standing(answer: NoAnswer, version: int, digest: str) -> Standing:
+    """Knows nothing of a host that did not answer."""
+    return Standing.NO_ANSWER
+
+
+def count_versions(
+    answers: Iterable[HostAnswer],
+) -> Counter[tuple[int, str]]:
+    """Returns how many hosts have each version and digest in force."""
+    return Counter(
+        (answer.status.version, answer.status.digest)
+        for answer in answers
+        if isinstance(answer, HostReport)
+    )
+
+
+def newest_version(answers: Iterable[HostAnswer]) -> int:
+    """Returns the highest version that any host has in force, or 0."""
+    return max((version for version, _ in count_versions(answers)), default=0)
+
+
+def all_agree(answers: Iterable[HostAnswer]) -> bool:
+    """Tells whether every host answered and all have the same in force."""
+    known = tuple(answers)
+    silent = any(isinstance(answer, NoAnswer) for answer in known)
+    return not silent and len(count_versions(known)) == 1
