Decide on leases of server slots at home entries

Cause: 18 entries that each count their own requests in flight are nearly blind at servers with 6 or 2 slots.

Change: rendezvous placement of a service over one home in each failure domain at most, each server owned by one home; the home's core as functions over state with time and random source passed in: least in flight, bounded slots, a queue by priority and in turn between callers, refusal at once when the deadline can't be met, slots held after failures, bounded ejection with probation, and ramp-up.

--- /dev/null
+++ b/cowslipmill/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Home entries of services and the leases that they grant."""
--- /dev/null
+++ b/cowslipmill/homes/home.py
@@ -0,0 +1,293 @@
+"""The decisions of a home: who gets which slot, who waits, who is refused.
+
+Nothing here waits or reads a clock: a driver passes in tickets and releases
+with the present time and carries the decisions to the entries.
+"""
+
+from collections.abc import Iterable
+from math import ceil
+from random import Random
+
+from cowslipmill.choice.ejection import eject_if_failing
+from cowslipmill.choice.health import Standing
+from cowslipmill.document.document import Service
+from cowslipmill.homes.lease import Decision
+from cowslipmill.homes.lease import Granted
+from cowslipmill.homes.lease import Queued
+from cowslipmill.homes.lease import Refused
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Result
+from cowslipmill.homes.lease import Ticket
+from cowslipmill.homes.lease import TicketKey
+from cowslipmill.homes.slots import Lease
+from cowslipmill.homes.slots import Slots
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.limits.servicetime import ServiceTime
+from cowslipmill.limits.waitqueue import WaitQueue
+from cowslipmill.outcomes.outcome import Reason
+
+MAX_WAITING = 4_096
+MIN_RETRY_AFTER_MS = 100
+NO_SERVER_RETRY_AFTER_MS = 1_000
+TRIAL_GRACE_S = 5.0
+
+
+class Home:
+    """Grants leases at the servers of one service that it owns.
+
+    Attributes:
+        service: The service in the document.
+        servers: Slots by server name.
+        leases: Leases by ticket key, also at servers that left since.
+        queue: Tickets that wait.
+        service_time: How long leases are held.
+        max_leases: Most leases at once, or None for the servers' slots.
+    """
+
+    __slots__ = (
+        'leases',
+        'max_leases',
+        'queue',
+        'servers',
+        'service',
+        'service_time',
+    )
+
+    def __init__(
+        self, service: Service, *, max_leases: int | None = None
+    ) -> None:
+        """Starts without servers."""
+        self.service = service
+        self.max_leases = max_leases
+        self.servers: dict[str, Slots] = {}
+        self.leases: dict[TicketKey, Lease] = {}
+        self.queue = WaitQueue()
+        self.service_time = ServiceTime()
+
+    def replace(
+        self,
+        service: Service,
+        servers: Iterable[tuple[Fact, float]],
+        now: float,
+        random: Random,
+        *,
+        slots_per_server: int | None = None,
+    ) -> list[Decision]:
+        """Sets the servers that it owns.
+
+        Args:
+            service: The service as it is now in the document.
+            servers: Live servers, each with when it began to ramp up.
+            now: Monotonic seconds.
+            random: Breaks ties.
+            slots_per_server: In place of the service's own number.
+        """
+        self.service = service
+        count = slots_per_server or service.slots_per_server
+        owned = {}
+        for fact, ramp_from in servers:
+            slots = self.servers.get(fact.name)
+            if slots is None or slots.fact.incarnation != fact.incarnation:
+                slots = Slots(
+                    fact,
+                    count,
+                    ramp_from=ramp_from,
+                    ramp_s=service.ramp_ms / 1000,
+                )
+            slots.fact = fact
+            slots.count = count
+            owned[fact.name] = slots
+        self.servers = owned
+        return self.pump(now, random)
+
+    def acquire(
+        self, ticket: Ticket, now: float, random: Random
+    ) -> list[Decision]:
+        """Takes in a ticket; one that came before gets its state again.
+
+        Returns:
+            The ticket's decision first, then those of others.
+        """
+        lease = self.leases.get(ticket.key)
+        if lease is not None:
+            return [Granted(ticket.key, lease.slots.fact)]
+        if ticket.key in self.queue.tickets:
+            return [Queued(ticket.key)]
+        others = self.pump(now, random)
+        return [self.decide(ticket, now, random), *others]
+
+    def decide(self, ticket: Ticket, now: float, random: Random) -> Decision:
+        """Grants, queues or refuses a new ticket."""
+        if ticket.deadline_at <= now:
+            return self.refuse(ticket, Reason.DEADLINE, now, random)
+        if all(name in ticket.excluded for name in self.servers):
+            return Refused(
+                ticket.key, Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS
+            )
+        if self.may_pass(ticket):
+            slots = self.find(ticket, now, random)
+            if slots is not None:
+                return self.grant(ticket, slots, now)
+        if not ticket.may_wait or not self.can_serve_in_time(ticket, now):
+            return self.refuse(ticket, Reason.OVERLOADED, now, random)
+        self.queue.push(ticket)
+        return Queued(ticket.key)
+
+    def may_pass(self, ticket: Ticket) -> bool:
+        """Tells whether a new ticket may take a slot at once.
+
+        Waiting tickets that could use a free slot have it by now; what is
+        left is free for tickets that must not wait only if none does.
+        """
+        return ticket.may_wait or not self.queue
+
+    def release(
+        self, key: TicketKey, report: Report, now: float, random: Random
+    ) -> list[Decision]:
+        """Takes back a lease, or a ticket that waits."""
+        self.forget_ticket(key)
+        lease = self.leases.pop(key, None)
+        if lease is None:
+            return []
+        hold_s = self.service_time.mean_s
+        lease.slots.release(report, lease.granted_at, hold_s, now)
+        if report.result is Result.ANSWERED:
+            self.service_time.record(now - lease.granted_at)
+        if report.result is Result.FAILED:
+            self.eject_if_failing(lease.slots, now)
+        return self.pump(now, random)
+
+    def forget_ticket(self, key: TicketKey) -> None:
+        """Removes a waiting ticket whose entry gave up."""
+        ticket = self.queue.tickets.get(key)
+        if ticket is not None:
+            self.queue.remove(ticket)
+
+    def poll(self, now: float, random: Random) -> list[Decision]:
+        """Ends leases and tickets whose deadline passed."""
+        for key, lease in list(self.leases.items()):
+            if lease.ticket.deadline_at <= now:
+                del self.leases[key]
+                lease.slots.in_flight -= 1
+        decisions: list[Decision] = []
+        for ticket in list(self.queue.tickets.values()):
+            if not self.has_time(ticket, now):
+                self.queue.remove(ticket)
+                decisions.append(
+                    self.refuse(ticket, Reason.OVERLOADED, now, random)
+                )
+        return decisions + self.pump(now, random)
+
+    def pump(self, now: float, random: Random) -> list[Decision]:
+        """Grants free slots to waiting tickets in their order."""
+        decisions: list[Decision] = []
+        while self.queue:
+            decision = self.serve_next(now, random)
+            if decision is None:
+                break
+            decisions.append(decision)
+        return decisions
+
+    def serve_next(self, now: float, random: Random) -> Decision | None:
+        """Decides on the first ticket that can be decided now."""
+        if not self.has_room(now):
+            return None
+        for ticket in self.queue:
+            if not self.has_time(ticket, now):
+                self.queue.remove(ticket)
+                return self.refuse(ticket, Reason.OVERLOADED, now, random)
+            slots = self.find(ticket, now, random)
+            if slots is not None:
+                self.queue.take(ticket)
+                return self.grant(ticket, slots, now)
+        return None
+
+    def has_room(self, now: float) -> bool:
+        """Tells whether any slot is free."""
+        if self.max_leases is not None:
+            if len(self.leases) >= self.max_leases:
+                return False
+        return any(slots.has_room(now) for slots in self.servers.values())
+
+    def find(self, ticket: Ticket, now: float, random: Random) -> Slots | None:
+        """Returns the best slots with room for a ticket."""
+        if self.max_leases is not None:
+            if len(self.leases) >= self.max_leases:
+                return None
+        tried_domains = {
+            self.servers[name].fact.failure_domain
+            for name in ticket.excluded
+            if name in self.servers
+        }
+        best = None
+        best_rank: tuple[object, ...] = ()
+        for slots in self.servers.values():
+            if slots.fact.name in ticket.excluded:
+                continue
+            if not slots.has_room(now) or not self.may_try(ticket, slots, now):
+                continue
+            rank = (*slots.rank(tried_domains, now), random.random())
+            if best is None or rank < best_rank:
+                best, best_rank = slots, rank
+        return best
+
+    def may_try(self, ticket: Ticket, slots: Slots, now: float) -> bool:
+        """Tells whether a ticket may go to a server in its present standing.
+
+        Only idempotent tickets try a server in probation, unless none has
+        come for a while.
+        """
+        health = slots.health
+        if health.standing is not Standing.PROBATION or ticket.idempotent:
+            return True
+        return now >= health.ejected_until + TRIAL_GRACE_S
+
+    def grant(self, ticket: Ticket, slots: Slots, now: float) -> Granted:
+        """Gives a ticket its slot."""
+        slots.in_flight += 1
+        self.leases[ticket.key] = Lease(ticket, slots, now)
+        return Granted(ticket.key, slots.fact)
+
+    def has_time(self, ticket: Ticket, now: float) -> bool:
+        """Tells whether a server can still answer before the deadline."""
+        return now + self.service_time.typical_s < ticket.deadline_at
+
+    def can_serve_in_time(self, ticket: Ticket, now: float) -> bool:
+        """Tells whether a slot comes free early enough for a ticket."""
+        if len(self.queue) >= MAX_WAITING:
+            return False
+        wait_s = self.estimate_wait_s(ticket, now)
+        needed_s = wait_s + self.service_time.long_s
+        return now + needed_s <= ticket.deadline_at
+
+    def estimate_wait_s(self, ticket: Ticket, now: float) -> float:
+        """Returns how long a new ticket would wait for a slot."""
+        usable = sum(slots.allowed(now) for slots in self.servers.values())
+        if self.max_leases is not None:
+            usable = min(usable, self.max_leases)
+        turns = self.queue.count_ahead(ticket) + 1
+        return turns * self.service_time.mean_s / max(1, usable)
+
+    def refuse(
+        self, ticket: Ticket, reason: Reason, now: float, random: Random
+    ) -> Refused:
+        """Refuses with the time after which a slot is to be expected.
+
+        The time is spread, so that refused callers come back apart.
+        """
+        wait_s = self.estimate_wait_s(ticket, now)
+        wait_ms = ceil(wait_s * random.uniform(1.0, 1.5) * 1000)
+        return Refused(ticket.key, reason, max(MIN_RETRY_AFTER_MS, wait_ms))
+
+    def eject_if_failing(self, slots: Slots, now: float) -> None:
+        """Sets a server aside that fails more than its peers."""
+        name = slots.fact.name
+        if self.servers.get(name) is not slots:
+            return
+        peers = [
+            other.health
+            for other in self.servers.values()
+            if other is not slots
+        ]
+        bound = int(self.service.max_ejected_share * len(self.servers))
+        eject_if_failing(slots.health, peers, bound, now)
--- /dev/null
+++ b/cowslipmill/homes/placement.py
@@ -0,0 +1,103 @@
+"""Which entries are homes of a service, and of which servers."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from math import ceil
+
+from cowslipmill.homes.rendezvous import rank
+from cowslipmill.homes.rendezvous import score
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.fact import State
+from cowslipmill.hosts.member import Member
+
+SLOTS_PER_HOME = 240
+
+
+def count_homes(slot_count: int, domain_count: int) -> int:
+    """Returns how many homes a service gets.
+
+    Args:
+        slot_count: Slots of all its servers.
+        domain_count: Failure domains that have an entry.
+    """
+    needed = ceil(slot_count / SLOTS_PER_HOME)
+    return max(1, min(needed, domain_count))
+
+
+def choose_homes(
+    service: str, members: Iterable[Member], count: int
+) -> tuple[Member, ...]:
+    """Returns the homes of a service, each in another failure domain.
+
+    Args:
+        service: The service's name.
+        members: Entries of the view; only live ones become homes.
+        count: Most homes.
+    """
+    live = {
+        member.name: member for member in members if member.state is State.LIVE
+    }
+    homes: dict[str, Member] = {}
+    for name in rank(service, live):
+        member = live[name]
+        homes.setdefault(member.failure_domain, member)
+    return tuple(homes.values())[:count]
+
+
+def find_owner(server: Fact, homes: Sequence[Member]) -> Member | None:
+    """Returns the one home that grants leases at a server.
+
+    A home in the server's failure domain goes first.
+    """
+    near = [
+        home for home in homes if home.failure_domain == server.failure_domain
+    ]
+    candidates = near or homes
+    return max(
+        candidates,
+        key=lambda home: score(server.name, home.name),
+        default=None,
+    )
+
+
+class Placement:
+    """The homes of one service in one view.
+
+    Attributes:
+        homes: The homes in their rendezvous order.
+        servers: Servers by the name of the home that owns them.
+    """
+
+    __slots__ = ('homes', 'servers')
+
+    def __init__(
+        self, homes: Sequence[Member], servers: Iterable[Fact]
+    ) -> None:
+        """Gives each server its owner."""
+        self.homes = tuple(homes)
+        self.servers: dict[str, list[Fact]] = {
+            home.name: [] for home in self.homes
+        }
+        for server in servers:
+            owner = find_owner(server, self.homes)
+            if owner is not None:
+                self.servers[owner.name].append(server)
+
+    @classmethod
+    def of_service(
+        cls,
+        service: str,
+        members: Sequence[Member],
+        servers: Sequence[Fact],
+        *,
+        slots_per_server: int,
+    ) -> 'Placement':
+        """Places one service over the entries of a view."""
+        domains = {
+            member.failure_domain
+            for member in members
+            if member.state is State.LIVE
+        }
+        slot_count = slots_per_server * len(servers)
+        count = count_homes(slot_count, len(domains))
+        return cls(choose_homes(service, members, count), servers)
--- /dev/null
+++ b/cowslipmill/homes/slots.py
@@ -0,0 +1,145 @@
+"""The slots of one backend server, as its home knows them."""
+
+from bisect import bisect_right
+from collections.abc import Collection
+from math import ceil
+
+from cowslipmill.choice.health import Health
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Result
+from cowslipmill.homes.lease import Ticket
+from cowslipmill.hosts.fact import Fact
+
+LATENCY_WEIGHT = 0.2
+FOREIGN_MAX_AGE_S = 0.2
+
+
+class Slots:
+    """Leases at one incarnation of a server, and what they tell of it.
+
+    Attributes:
+        fact: The server.
+        count: Its slots.
+        in_flight: Leases granted and not yet released.
+        held_until: Ends of the times that failures keep their slots.
+        latency_s: Moving average of recent latencies.
+        foreign: Requests in flight beyond our leases, when last reported.
+        foreign_at: When they were reported, monotonic seconds.
+        ramp_from: When the server began to ramp up, monotonic seconds.
+        ramp_s: How long it ramps up.
+        health: Its failures.
+    """
+
+    __slots__ = (
+        'count',
+        'fact',
+        'foreign',
+        'foreign_at',
+        'health',
+        'held_until',
+        'in_flight',
+        'latency_s',
+        'ramp_from',
+        'ramp_s',
+    )
+
+    def __init__(
+        self, fact: Fact, count: int, *, ramp_from: float, ramp_s: float
+    ) -> None:
+        """Starts with every slot free."""
+        self.fact = fact
+        self.count = count
+        self.in_flight = 0
+        self.held_until: list[float] = []
+        self.latency_s = 0.0
+        self.foreign = 0
+        self.foreign_at = 0.0
+        self.ramp_from = ramp_from
+        self.ramp_s = ramp_s
+        self.health = Health()
+
+    def allowed(self, now: float) -> int:
+        """Returns how many slots may be used while it ramps up."""
+        count = self.count
+        age_s = now - self.ramp_from
+        if age_s < self.ramp_s:
+            count = max(1, ceil(count * age_s / self.ramp_s))
+        return self.health.allowed_slots(count, now)
+
+    def occupied(self, now: float) -> int:
+        """Returns the slots in use, those of others by the last report."""
+        if self.held_until:
+            self.held_until = self.held_until[
+                bisect_right(self.held_until, now) :
+            ]
+        foreign = self.foreign
+        if now - self.foreign_at > FOREIGN_MAX_AGE_S:
+            foreign = 0
+        return self.in_flight + len(self.held_until) + foreign
+
+    def has_room(self, now: float) -> bool:
+        """Tells whether a lease may be granted."""
+        return self.occupied(now) < self.allowed(now)
+
+    def rank(
+        self, tried_domains: Collection[str], now: float
+    ) -> tuple[bool, bool, float, float]:
+        """Returns a key that is least for the best server.
+
+        Args:
+            tried_domains: Failure domains of servers that were tried.
+            now: Monotonic seconds.
+        """
+        return (
+            self.health.failing,
+            self.fact.failure_domain in tried_domains,
+            self.occupied(now) / self.count,
+            self.latency_s,
+        )
+
+    def release(
+        self, report: Report, granted_at: float, hold_s: float, now: float
+    ) -> None:
+        """Takes back one lease.
+
+        Args:
+            report: How its use ended.
+            granted_at: When it was granted.
+            hold_s: How long a failure keeps the slot, from its grant.
+            now: Monotonic seconds.
+        """
+        if report.load is not None:
+            self.foreign = max(0, report.load - self.in_flight)
+            self.foreign_at = now
+        self.in_flight -= 1
+        if report.result is Result.FAILED:
+            self.health.record(True)
+            self.hold(granted_at + hold_s, now)
+        if report.result is Result.ANSWERED:
+            self.health.record(False)
+            difference = now - granted_at - self.latency_s
+            self.latency_s += LATENCY_WEIGHT * difference
+
+    def hold(self, until: float, now: float) -> None:
+        """Keeps a slot, so that failing fast attracts no work."""
+        if until > now:
+            self.held_until.append(until)
+            self.held_until.sort()
+
+
+class Lease:
+    """A slot that an entry holds.
+
+    Attributes:
+        ticket: What the entry asked for.
+        slots: The server's slots.
+        granted_at: Monotonic seconds.
+    """
+
+    __slots__ = ('granted_at', 'slots', 'ticket')
+
+    def __init__(self, ticket: Ticket, slots: Slots, now: float) -> None:
+        """Starts now."""
+        self.ticket = ticket
+        self.slots = slots
+        self.granted_at = now
--- /dev/null
+++ b/cowslipmill/homes/tests/conftest.py
@@ -0,0 +1,76 @@
+"""Servers, entries and tickets for tests of homes."""
+
+from collections.abc import Callable
+
+import pytest
+
+from cowslipmill.document.document import Priority
+from cowslipmill.document.document import Service
+from cowslipmill.homes.lease import Ticket
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.fact import Role
+from cowslipmill.hosts.member import Member
+
+DOMAINS = ('domain-a', 'domain-b', 'domain-c')
+
+
+def make_server(number: int) -> Fact:
+    """Returns a live server."""
+    return Fact(
+        name=f'server-{number}',
+        role=Role.BACKEND_SERVER,
+        address=f'127.0.0.1:{9000 + number}',
+        failure_domain=DOMAINS[number % 3],
+        incarnation=1,
+        service='registry',
+    )
+
+
+def make_member(number: int) -> Member:
+    """Returns a live entry."""
+    return Member(
+        name=f'entry-{number}',
+        host=f'host-{number}',
+        failure_domain=DOMAINS[number % 3],
+        incarnation=1,
+        peer_address=f'127.0.0.1:{8000 + number}',
+    )
+
+
+def make_ticket(
+    number: int,
+    *,
+    deadline_at: float = 100.0,
+    caller: str = 'garage',
+    priority: Priority = Priority.NORMAL,
+    idempotent: bool = True,
+    excluded: tuple[str, ...] = (),
+    may_wait: bool = True,
+) -> Ticket:
+    """Returns a ticket of one entry."""
+    return Ticket(
+        key=('entry-0', number),
+        caller=caller,
+        priority=priority,
+        idempotent=idempotent,
+        deadline_at=deadline_at,
+        excluded=excluded,
+        may_wait=may_wait,
+    )
+
+
+def make_service(slots: int = 2) -> Service:
+    """Returns a service of the document."""
+    return Service(name='registry', team='standing', slots_per_server=slots)
+
+
+@pytest.fixture
+def service() -> Service:
+    """A service with two slots at each server."""
+    return make_service()
+
+
+@pytest.fixture
+def ticket() -> Callable[..., Ticket]:
+    """Makes tickets."""
+    return make_ticket
--- /dev/null
+++ b/cowslipmill/homes/tests/test_home_machine.py
@@ -0,0 +1,160 @@
+"""A state machine over one home: any order of what may happen."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.strategies import booleans
+from hypothesis.strategies import floats
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+from hypothesis.strategies import sets
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import Not
+
+from cowslipmill.choice.health import Standing
+from cowslipmill.document.document import Priority
+from cowslipmill.homes.home import Home
+from cowslipmill.homes.lease import Decision
+from cowslipmill.homes.lease import Granted
+from cowslipmill.homes.lease import Queued
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Result
+from cowslipmill.homes.lease import Ticket
+from cowslipmill.homes.lease import TicketKey
+from cowslipmill.homes.tests.conftest import make_server
+from cowslipmill.homes.tests.conftest import make_service
+from cowslipmill.homes.tests.conftest import make_ticket
+
+
+class HomeMachine(RuleBasedStateMachine):
+    """Drives a home with tickets, results, lost entries and late wakes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.home = Home(make_service())
+        self.random = Random(1)
+        self.now = 0.0
+        self.live: set[str] = set()
+        self.tickets: dict[TicketKey, Ticket] = {}
+        self.waiting: set[TicketKey] = set()
+        self.ended: dict[TicketKey, Decision | None] = {}
+        self.replace(set(range(4)))
+
+    def take(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, Queued):
+                self.waiting.add(decision.key)
+                continue
+            assert_that(self.ended, Not(Contains(decision.key)))
+            self.ended[decision.key] = decision
+            self.waiting.discard(decision.key)
+            if isinstance(decision, Granted):
+                ticket = self.tickets[decision.key]
+                assert_that(ticket.deadline_at, GreaterThan(self.now))
+                assert_that(self.live, Contains(decision.server.name))
+                assert_that(
+                    ticket.excluded, Not(Contains(decision.server.name))
+                )
+
+    @rule(numbers=sets(integers(0, 5), max_size=6))
+    def replace(self, numbers: set[int]) -> None:
+        facts = [make_server(number) for number in sorted(numbers)]
+        self.live = {fact.name for fact in facts}
+        servers = [(fact, -100.0) for fact in facts]
+        service = self.home.service
+        self.take(self.home.replace(service, servers, self.now, self.random))
+
+    @rule(
+        wait_s=floats(0.01, 3.0),
+        caller=sampled_from(('garage', 'assessor')),
+        priority=sampled_from(Priority),
+        idempotent=booleans(),
+        may_wait=booleans(),
+        excluded=sets(integers(0, 5), max_size=2),
+    )
+    def acquire(
+        self,
+        wait_s: float,
+        caller: str,
+        priority: Priority,
+        idempotent: bool,
+        may_wait: bool,
+        excluded: set[int],
+    ) -> None:
+        ticket = make_ticket(
+            len(self.tickets),
+            deadline_at=self.now + wait_s,
+            caller=caller,
+            priority=priority,
+            idempotent=idempotent,
+            may_wait=may_wait,
+            excluded=tuple(f'server-{number}' for number in excluded),
+        )
+        self.tickets[ticket.key] = ticket
+        decisions = self.home.acquire(ticket, self.now, self.random)
+        assert_that(decisions[0].key, Equals(ticket.key))
+        self.take(decisions)
+
+    @rule(index=integers(0, 99), result=sampled_from(Result))
+    def release(self, index: int, result: Result) -> None:
+        keys = sorted(self.home.leases)
+        if keys:
+            key = keys[index % len(keys)]
+            report = Report(result)
+            self.take(self.home.release(key, report, self.now, self.random))
+
+    @rule(index=integers(0, 99))
+    def give_up(self, index: int) -> None:
+        keys = sorted(self.waiting)
+        if keys:
+            key = keys[index % len(keys)]
+            self.waiting.remove(key)
+            report = Report(Result.UNUSED)
+            self.take(self.home.release(key, report, self.now, self.random))
+            assert_that(self.ended, Not(Contains(key)))
+            self.ended[key] = None
+
+    @rule(elapsed_s=floats(0.0, 0.2))
+    def pass_time(self, elapsed_s: float) -> None:
+        self.now += elapsed_s
+        self.take(self.home.poll(self.now, self.random))
+
+    @rule(elapsed_s=floats(0.5, 4.0))
+    def wake_late(self, elapsed_s: float) -> None:
+        self.now += elapsed_s
+
+    @invariant()
+    def leases_stay_within_the_slots(self) -> None:
+        held: dict[int, int] = {}
+        for lease in self.home.leases.values():
+            held[id(lease.slots)] = held.get(id(lease.slots), 0) + 1
+        for slots in self.home.servers.values():
+            assert_that(slots.in_flight, Equals(held.get(id(slots), 0)))
+            assert_that(slots.in_flight, Not(GreaterThan(slots.count)))
+
+    @invariant()
+    def ejected_servers_stay_a_minority(self) -> None:
+        standings = [
+            slots.health.standing for slots in self.home.servers.values()
+        ]
+        ejected = standings.count(Standing.EJECTED)
+        bound = int(self.home.service.max_ejected_share * 6)
+        assert_that(ejected, Not(GreaterThan(bound)))
+
+    @invariant()
+    def each_ticket_waits_or_has_ended(self) -> None:
+        assert_that(self.waiting, Equals(set(self.home.queue.tickets)))
+        open_keys = set(self.tickets) - set(self.ended)
+        assert_that(open_keys, Equals(self.waiting))
+
+
+HomeMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=50
+)
+test_home_machine = HomeMachine.TestCase
--- /dev/null
+++ b/cowslipmill/homes/tests/test_placement.py
@@ -0,0 +1,100 @@
+"""Properties of the placement of services over homes."""
+
+from hypothesis import given
+from hypothesis.strategies import integers
+from hypothesis.strategies import lists
+from msgspec.structs import replace
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+from testtools.matchers import LessThan
+
+from cowslipmill.homes.placement import choose_homes
+from cowslipmill.homes.placement import count_homes
+from cowslipmill.homes.placement import find_owner
+from cowslipmill.homes.placement import Placement
+from cowslipmill.homes.tests.conftest import make_member
+from cowslipmill.homes.tests.conftest import make_server
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.fact import State
+from cowslipmill.hosts.member import Member
+
+members = lists(integers(0, 40), min_size=1, max_size=19, unique=True).map(
+    lambda numbers: [make_member(number) for number in numbers]
+)
+servers = lists(integers(0, 99), max_size=30, unique=True).map(
+    lambda numbers: [make_server(number) for number in numbers]
+)
+
+
+@given(members, servers, integers(1, 3))
+def test_each_server_has_one_owner(
+    members: list[Member], servers: list[Fact], count: int
+) -> None:
+    homes = choose_homes('registry', members, count)
+    placement = Placement(homes, servers)
+    owned = [fact.name for part in placement.servers.values() for fact in part]
+    assert_that(sorted(owned), Equals(sorted(s.name for s in servers)))
+
+
+@given(members, integers(1, 3))
+def test_homes_are_in_different_failure_domains(
+    members: list[Member], count: int
+) -> None:
+    homes = choose_homes('registry', members, count)
+    domains = {home.failure_domain for home in homes}
+    assert_that(domains, HasLength(len(homes)))
+
+
+@given(members, servers)
+def test_order_of_the_view_does_not_matter(
+    members: list[Member], servers: list[Fact]
+) -> None:
+    one = Placement(choose_homes('registry', members, 3), servers)
+    two = Placement(choose_homes('registry', members[::-1], 3), servers)
+    assert_that(two.homes, Equals(one.homes))
+    assert_that(two.servers, Equals(one.servers))
+
+
+@given(members, servers, integers(0, 18))
+def test_only_servers_of_a_lost_home_move(
+    members: list[Member], servers: list[Fact], index: int
+) -> None:
+    lost = members[index % len(members)]
+    before = choose_homes('registry', members, 3)
+    rest = [member for member in members if member is not lost]
+    after = choose_homes('registry', rest, 3)
+    if lost not in before:
+        assert_that(after, Equals(before))
+        return
+    for server in servers:
+        owner = find_owner(server, before)
+        if owner is None or owner is lost:
+            continue
+        if owner.failure_domain == server.failure_domain:
+            assert_that(find_owner(server, after), Equals(owner))
+
+
+def test_leaving_entries_are_no_homes() -> None:
+    leaving = [
+        replace(make_member(number), state=State.LEAVING)
+        for number in range(3)
+    ]
+    homes = choose_homes('registry', [*leaving, make_member(7)], 3)
+    assert_that([home.name for home in homes], Equals(['entry-7']))
+
+
+def test_services_spread_over_the_entries() -> None:
+    members = [make_member(number) for number in range(18)]
+    homes = [
+        choose_homes(f'service-{number}', members, 1)[0].name
+        for number in range(430)
+    ]
+    most = max(homes.count(member.name) for member in members)
+    assert_that(most, LessThan(2 * 430 // 18))
+
+
+def test_large_services_get_a_home_for_each_failure_domain() -> None:
+    assert_that(count_homes(14, 3), Equals(1))
+    assert_that(count_homes(481, 3), Equals(3))
+    assert_that(count_homes(10_000, 3), Equals(3))
--- /dev/null
+++ b/cowslipmill/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Queues and bounds that keep servers within their limits."""
