Eject a server whose failures stand out only later

A server that failed before its sound peers had answered did not stand out then; it was ranked last from then on, so that no later failure came to have it looked at again, and it would never have gone through probation.

Change: each poll of a home looks at failing servers again. The test polls after each release as the driver does; its verdict stays exactly 2 of 6.

--- a/cowslipmill/homes/home.py
+++ b/cowslipmill/homes/home.py
@@ -164,11 +164,14 @@
             self.queue.remove(ticket)
 
     def poll(self, now: float, random: Random) -> list[Decision]:
-        """Ends leases and tickets whose deadline passed."""
+        """Ends what is past its deadline and reviews failing servers."""
         for key, lease in list(self.leases.items()):
             if lease.ticket.deadline_at <= now:
                 del self.leases[key]
                 lease.slots.in_flight -= 1
+        for slots in self.servers.values():
+            if slots.health.failing:
+                self.eject_if_failing(slots, now)
         decisions: list[Decision] = []
         for ticket in list(self.queue.tickets.values()):
             if not self.has_time(ticket, now):
--- a/cowslipmill/homes/tests/test_home.py
+++ b/cowslipmill/homes/tests/test_home.py
@@ -200,6 +200,7 @@
         failed = granted.server.name in ('server-0', 'server-1', 'server-2')
         result = Result.FAILED if failed else Result.ANSWERED
         home.release(granted.key, Report(result), now, random)
+        home.poll(now, random)
     ejected = [
         slots
         for slots in home.servers.values()
