Lease servers from homes in the data path

Cause: entries chose by their own requests in flight alone.

Change: an entry asks a home of the service for a lease (at most one call and one message back), sends the request itself and gives the lease back with the server's load report. Its own homes are called directly. Idempotent requests are hedged after the route's recent p95 into free slots, within hedge_share. For comparison an entry can choose by round robin, random, least in flight, two choices, Prequal's rule or an oracle that asks the stand-ins. A stand-in that is slowed down now also slows what runs already, as a noisy neighbour does; before, only requests that started were slowed.

--- /dev/null
+++ b/cowslipmill/choice/metrics.py
@@ -0,0 +1,8 @@
+"""Metrics of choosing a server."""
+
+from prometheus_client import Counter
+
+MEASURING_CALLS = Counter(
+    'cowslipmill_measuring_calls_total',
+    'Calls that were made to servers only to measure them.',
+)
--- /dev/null
+++ b/cowslipmill/choice/probing.py
@@ -0,0 +1,144 @@
+"""Choosers that ask the stand-in servers before they choose."""
+
+from asyncio import create_task
+from asyncio import Task
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from functools import partial
+from random import Random
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+
+from cowslipmill.choice.chooser import Demand
+from cowslipmill.choice.metrics import MEASURING_CALLS
+from cowslipmill.choice.policies import NO_SERVER
+from cowslipmill.choice.policies import PolicyChoice
+from cowslipmill.choice.prequal import Prequal
+from cowslipmill.choice.server import Server
+from cowslipmill.homes.lease import Report
+from cowslipmill.outcomes.outcome import NotRun
+
+PROBES_PER_REQUEST = 1
+PROBE_TIMEOUT = ClientTimeout(total=0.5)
+ORACLE_PATH = '/standin/least'
+
+ReadLoad = Callable[[Mapping[str, str]], int | None]
+ListServers = Callable[[str], Sequence[Server]]
+
+
+class PrequalChooser:
+    """Probes servers with each request and chooses by Prequal's rule.
+
+    Attributes:
+        pools: Probes by service.
+        tasks: Probes that have not been answered.
+    """
+
+    __slots__ = (
+        'clock',
+        'pools',
+        'random',
+        'read_load',
+        'servers',
+        'session',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        session: ClientSession,
+        servers: ListServers,
+        read_load: ReadLoad,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        """Keeps how to probe and where the servers are."""
+        self.session = session
+        self.servers = servers
+        self.read_load = read_load
+        self.clock = clock
+        self.random = random
+        self.pools: dict[str, Prequal] = {}
+        self.tasks: set[Task[None]] = set()
+
+    async def acquire(self, demand: Demand) -> PolicyChoice | NotRun:
+        """Returns the best server by the probes, and starts the next."""
+        service = demand.route.service
+        servers = self.servers(service)
+        allowed = [s for s in servers if s.name not in demand.excluded]
+        if not allowed:
+            return NO_SERVER
+        pool = self.pools.setdefault(service, Prequal())
+        for _ in range(PROBES_PER_REQUEST):
+            probed = self.random.choice(servers)
+            task = create_task(self.probe(pool, probed))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        now = self.clock()
+        server = pool.pick(allowed, now, self.random)
+        return PolicyChoice(server, partial(self.observe, pool, server, now))
+
+    async def probe(self, pool: Prequal, server: Server) -> None:
+        """Asks one server for its load."""
+        MEASURING_CALLS.inc()
+        url = f'http://{server.fact.address}/healthz'
+        try:
+            async with self.session.get(url, timeout=PROBE_TIMEOUT) as answer:
+                await answer.read()
+                load = self.read_load(answer.headers)
+        except (ClientError, OSError, TimeoutError):
+            return
+        if load is not None:
+            pool.add(server.name, load, self.clock())
+
+    def observe(
+        self, pool: Prequal, server: Server, started_at: float, report: Report
+    ) -> None:
+        """Takes in the latency of a try."""
+        took_s = self.clock() - started_at
+        pool.observe_latency(server.name, report, took_s)
+
+    def refresh(self, service: str) -> None:
+        """Needs nothing; the servers are read at each choice."""
+
+
+class OracleChooser:
+    """Asks the stand-ins which server has the fewest requests now."""
+
+    __slots__ = ('servers', 'session')
+
+    def __init__(self, session: ClientSession, servers: ListServers) -> None:
+        """Keeps how to ask and where the servers are."""
+        self.session = session
+        self.servers = servers
+
+    async def acquire(self, demand: Demand) -> PolicyChoice | NotRun:
+        """Returns the server with the lowest true occupancy."""
+        by_name = {s.name: s for s in self.servers(demand.route.service)}
+        if not by_name:
+            return NO_SERVER
+        address = next(iter(by_name.values())).fact.address
+        MEASURING_CALLS.inc()
+        query = {
+            'service': demand.route.service,
+            'excluded': ','.join(demand.excluded),
+        }
+        url = f'http://{address}{ORACLE_PATH}'
+        try:
+            async with self.session.get(url, params=query) as answer:
+                server = by_name.get(await answer.text())
+        except (ClientError, OSError, TimeoutError):
+            return NO_SERVER
+        if server is None:
+            return NO_SERVER
+        return PolicyChoice(server, ignore)
+
+    def refresh(self, service: str) -> None:
+        """Needs nothing; the servers are read at each choice."""
+
+
+def ignore(report: Report) -> None:
+    """Learns nothing."""
--- /dev/null
+++ b/cowslipmill/entry/choosers.py
@@ -0,0 +1,50 @@
+"""Makes the chooser that the settings name."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from random import Random
+
+from aiohttp import ClientSession
+
+from cowslipmill.choice.chooser import Chooser
+from cowslipmill.choice.policies import PolicyChooser
+from cowslipmill.choice.policies import SIMPLE_POLICIES
+from cowslipmill.choice.probing import OracleChooser
+from cowslipmill.choice.probing import PrequalChooser
+from cowslipmill.choice.rule import Rule
+from cowslipmill.choice.server import Server
+from cowslipmill.entry.peering import Peering
+from cowslipmill.entry.results import total_load
+from cowslipmill.entry.rules import Rules
+from cowslipmill.entry.signals import read_signals
+from cowslipmill.homes.chooser import HomeChooser
+from cowslipmill.settings.settings import EntrySettings
+
+
+def build_chooser(
+    settings: EntrySettings,
+    rules: Rules,
+    peering: Peering,
+    session: ClientSession,
+    clock: Callable[[], float],
+    random: Random,
+) -> Chooser:
+    """Returns the chooser of an entry."""
+
+    def list_servers(service: str) -> Sequence[Server]:
+        return tuple(rules.pools[service].servers.values())
+
+    if settings.choice in SIMPLE_POLICIES:
+        policy = SIMPLE_POLICIES[settings.choice]
+        return PolicyChooser(policy, list_servers, clock, random)
+    if settings.choice is Rule.PREQUAL:
+        return PrequalChooser(session, list_servers, read_load, clock, random)
+    if settings.choice is Rule.ORACLE:
+        return OracleChooser(session, list_servers)
+    return HomeChooser(settings.name, rules, peering, clock, random)
+
+
+def read_load(headers: Mapping[str, str]) -> int | None:
+    """Returns the requests at a server by the headers of an answer."""
+    return total_load(read_signals(headers))
--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -1,19 +1,27 @@
 """Drives a request through its exchange."""
 
+from asyncio import CancelledError
 from asyncio import timeout_at
 from collections.abc import Callable
-from random import Random
 
-from cowslipmill.choice.server import Server
+from cowslipmill.choice.chooser import Choice
+from cowslipmill.choice.chooser import Chooser
+from cowslipmill.choice.chooser import Demand
 from cowslipmill.document.document import Route
+from cowslipmill.entry.hedging import Hedging
+from cowslipmill.entry.results import report_of
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import OutgoingRequest
 from cowslipmill.entry.upstream import Upstream
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Result
+from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
-from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
 from cowslipmill.tries.action import Finish
+from cowslipmill.tries.action import Send
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
 from cowslipmill.tries.event import ServerChosen
@@ -21,7 +29,45 @@
 from cowslipmill.tries.exchange import advance
 from cowslipmill.tries.exchange import Exchange
 
-NO_SERVER_RETRY_AFTER_MS = 1_000
+MAX_CALLER_CHARS = 64
+
+
+class Flight:
+    """One request on its way.
+
+    Attributes:
+        exchange: Its state.
+        request: What is sent.
+        choice: The server of the present try, until it is used.
+    """
+
+    __slots__ = ('choice', 'exchange', 'request')
+
+    def __init__(self, exchange: Exchange, request: OutgoingRequest) -> None:
+        """Starts without a server."""
+        self.exchange = exchange
+        self.request = request
+        self.choice: Choice | None = None
+
+    def demand(self, excluded: tuple[str, ...]) -> Demand:
+        """Returns what the next try asks of the chooser."""
+        return Demand(
+            route=self.exchange.route,
+            caller=name_caller(self.request),
+            deadline_at=self.exchange.deadline_at,
+            excluded=excluded,
+        )
+
+    def take_choice(self) -> Choice:
+        """Returns the chosen server for use."""
+        choice, self.choice = self.choice, None
+        assert choice is not None
+        return choice
+
+    def give_back_unused(self) -> None:
+        """Gives back a server that was chosen and not used."""
+        if self.choice is not None:
+            self.take_choice().release(Report(Result.UNUSED))
 
 
 class Dispatcher:
@@ -30,23 +76,26 @@
     Attributes:
         rules: What is in force.
         upstream: Connections to the backend servers.
+        chooser: Finds servers.
+        hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
     """
 
-    __slots__ = ('clock', 'random', 'rules', 'upstream')
+    __slots__ = ('chooser', 'clock', 'hedging', 'rules', 'upstream')
 
     def __init__(
         self,
         rules: Rules,
         upstream: Upstream,
+        chooser: Chooser,
         clock: Callable[[], float],
-        random: Random,
     ) -> None:
         """Keeps the parts."""
         self.rules = rules
         self.upstream = upstream
+        self.chooser = chooser
         self.clock = clock
-        self.random = random
+        self.hedging = Hedging(clock)
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -60,38 +109,94 @@
         """
         budget = self.rules.budgets[route.service]
         exchange = Exchange(route, budget, deadline_at)
+        flight = Flight(exchange, request)
         action = exchange.start()
         try:
             async with timeout_at(deadline_at):
                 while not isinstance(action, Finish):
-                    if isinstance(action, Choose):
-                        event = self.choose(route, action)
-                    else:
-                        event = await self.send(
-                            action.server, request, action.deadline_ms
-                        )
+                    event = await self.carry_out(action, flight)
                     action = advance(event, exchange, self.clock())
         except TimeoutError:
             last = advance(DeadlinePassed(), exchange, self.clock())
             assert isinstance(last, Finish)
             action = last
+        finally:
+            flight.give_back_unused()
         return action.outcome
 
-    def choose(self, route: Route, action: Choose) -> Event:
+    async def carry_out(self, action: Action, flight: Flight) -> Event:
+        """Does what the exchange asks for and returns what happened."""
+        if isinstance(action, Choose):
+            return await self.choose(action, flight)
+        assert isinstance(action, Send)
+        return await self.send(action, flight)
+
+    async def choose(self, action: Choose, flight: Flight) -> Event:
         """Returns a server, or why there is none."""
-        pool = self.rules.pools[route.service]
-        server = pool.choose(action.excluded, self.random)
-        if server is None:
-            refusal = NotRun(Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS)
-            return ServerRefused(refusal)
-        return ServerChosen(server)
-
-    async def send(
-        self, server: Server, request: OutgoingRequest, deadline_ms: int
+        demand = flight.demand(action.excluded)
+        choice = await self.chooser.acquire(demand)
+        if isinstance(choice, NotRun):
+            return ServerRefused(choice)
+        flight.choice = choice
+        return ServerChosen(choice.server)
+
+    async def send(self, action: Send, flight: Flight) -> Event:
+        """Sends the request, and again elsewhere if it takes long."""
+        route = flight.exchange.route
+        service = self.rules.services[route.service]
+        self.hedging.earn(route, service.hedge_share)
+        delay_s = self.hedging.delay_s(route, service.hedge_share)
+        first = self.send_once(flight.take_choice(), action, flight)
+        if delay_s is None:
+            return await first
+        return await self.hedging.race(
+            route, first, delay_s, lambda: self.hedge(action, flight)
+        )
+
+    async def hedge(self, action: Send, flight: Flight) -> Event | None:
+        """Sends the request a second time if a slot is free elsewhere."""
+        tried = tuple(flight.exchange.tried)
+        demand = Demand(
+            route=flight.exchange.route,
+            caller=name_caller(flight.request),
+            deadline_at=flight.exchange.deadline_at,
+            excluded=tried,
+            may_wait=False,
+        )
+        choice = await self.chooser.acquire(demand)
+        if isinstance(choice, NotRun):
+            return None
+        return await self.send_once(choice, action, flight)
+
+    async def send_once(
+        self, choice: Choice, action: Send, flight: Flight
     ) -> Event:
-        """Makes one try and counts it as in flight meanwhile."""
+        """Makes one try and gives its server back."""
+        server = choice.server
+        exchange = flight.exchange
+        started_at = self.clock()
+        deadline_ms = exchange.remaining_ms(started_at)
         server.in_flight += 1
+        report = Report(Result.CANCELLED)
         try:
-            return await self.upstream.send(server.fact, request, deadline_ms)
+            event = await self.upstream.send(
+                server.fact, flight.request, deadline_ms
+            )
+            report = report_of(event)
+            if report.result is Result.ANSWERED:
+                self.hedging.record(exchange.route, started_at)
+            return event
+        except CancelledError:
+            if self.clock() >= exchange.deadline_at:
+                report = Report(Result.FAILED)
+            raise
         finally:
             server.in_flight -= 1
+            choice.release(report)
+
+
+def name_caller(request: OutgoingRequest) -> str:
+    """Returns who sent a request: the name it gives, or its address."""
+    headers = request.headers
+    name = headers.get(CALLER_HEADER) or headers.get('Forwarded') or ''
+    return name[:MAX_CALLER_CHARS]
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -8,12 +8,16 @@
 from mode import Service
 
 from cowslipmill.agent.messages import Hello
+from cowslipmill.entry.choosers import build_chooser
 from cowslipmill.entry.dispatcher import Dispatcher
 from cowslipmill.entry.feedclient import FeedClient
 from cowslipmill.entry.listener import Listener
+from cowslipmill.entry.peering import Peering
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import open_session
 from cowslipmill.entry.upstream import Upstream
+from cowslipmill.homes.messages import LEASE_MESSAGES
+from cowslipmill.hosts.member import Member
 from cowslipmill.settings.settings import EntrySettings
 from cowslipmill.telemetry.admin import Admin
 
@@ -32,7 +36,16 @@
         super().__init__()
         self.settings = settings
         self.random = random
-        self.rules = Rules()
+        self.incarnation = time_ns() // 1_000_000
+        self.rules = Rules(
+            Member(
+                name=settings.name,
+                host=settings.host,
+                failure_domain=settings.failure_domain,
+                incarnation=self.incarnation,
+                peer_address=settings.peer_listen,
+            )
+        )
         self.stopping = False
 
     async def on_start(self) -> None:
@@ -40,15 +53,21 @@
         settings = self.settings
         clock = get_running_loop().time
         session = await self.add_async_context(open_session())
-        dispatcher = Dispatcher(
-            self.rules, Upstream(session), clock, self.random
+        peering = Peering(settings, LEASE_MESSAGES, self.random)
+        chooser = build_chooser(
+            settings, self.rules, peering, session, clock, self.random
         )
+        self.rules.on_refresh.append(chooser.refresh)
+        dispatcher = Dispatcher(self.rules, Upstream(session), chooser, clock)
         hello = Hello(
             entry=settings.name,
             address=settings.listen,
             peer_address=settings.peer_listen,
-            incarnation=time_ns() // 1_000_000,
+            incarnation=self.incarnation,
         )
+        await self.add_runtime_dependency(peering)
+        if isinstance(chooser, Service):
+            await self.add_runtime_dependency(chooser)
         await self.add_runtime_dependency(
             Admin(settings.admin_listen, self.is_ready)
         )
--- a/cowslipmill/entry/feedclient.py
+++ b/cowslipmill/entry/feedclient.py
@@ -1,5 +1,6 @@
 """Follows the agent of this host."""
 
+from asyncio import get_running_loop
 from logging import getLogger
 from random import Random
 
@@ -13,6 +14,7 @@
 from cowslipmill.agent.messages import FEED_CODEC
 from cowslipmill.agent.messages import Hello
 from cowslipmill.agent.messages import MAX_FEED_BYTES
+from cowslipmill.agent.messages import Members
 from cowslipmill.document.checker import decode_document
 from cowslipmill.document.problem import InvalidDocument
 from cowslipmill.entry.rules import Rules
@@ -66,6 +68,9 @@
                 self.put_in_force(message)
             if isinstance(message, Facts):
                 self.rules.take_facts(message.facts)
+            if isinstance(message, Members):
+                now = get_running_loop().time()
+                self.rules.take_members(message.members, now)
 
     def put_in_force(self, message: DocumentInForce) -> None:
         """Puts the agent's document in force."""
--- /dev/null
+++ b/cowslipmill/entry/hedging.py
@@ -0,0 +1,112 @@
+"""Second tries of idempotent requests that take long."""
+
+from asyncio import create_task
+from asyncio import FIRST_COMPLETED
+from asyncio import Task
+from asyncio import wait
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from cowslipmill.document.document import Route
+from cowslipmill.entry.metrics import HEDGES
+from cowslipmill.limits.latency import RecentLatency
+from cowslipmill.tries.budget import RetryBudget
+from cowslipmill.tries.event import AnswerRead
+from cowslipmill.tries.event import Event
+
+FIRST_FAILURE_STATUS = 500
+
+Hedge = Callable[[], Coroutine[Any, Any, Event | None]]
+
+
+class Hedging:
+    """Latency of each route, and a budget of second tries.
+
+    Attributes:
+        clock: Returns monotonic seconds.
+        latencies: Recent latencies by route name.
+        budgets: Tokens for second tries by route name.
+    """
+
+    __slots__ = ('budgets', 'clock', 'latencies')
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Starts without latencies."""
+        self.clock = clock
+        self.latencies: dict[str, RecentLatency] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def earn(self, route: Route, share: float) -> None:
+        """Counts one request."""
+        if not route.idempotent or not share:
+            return
+        budget = self.budgets.get(route.name)
+        if budget is None or budget.share != share:
+            budget = self.budgets[route.name] = RetryBudget(share)
+        budget.earn()
+
+    def record(self, route: Route, started_at: float) -> None:
+        """Takes in the time of one answered try."""
+        latency = self.latencies.setdefault(route.name, RecentLatency())
+        latency.record(self.clock() - started_at)
+
+    def delay_s(self, route: Route, share: float) -> float | None:
+        """Returns after which time a second try is due, or None for never."""
+        if not route.idempotent or not share:
+            return None
+        latency = self.latencies.get(route.name)
+        return latency.p95_s if latency else None
+
+    async def race(
+        self,
+        route: Route,
+        first: Coroutine[Any, Any, Event],
+        delay_s: float,
+        hedge: Hedge,
+    ) -> Event:
+        """Returns the first good event of one try, or of two.
+
+        Args:
+            route: The route, which is idempotent.
+            first: The first try.
+            delay_s: After which time the second try starts.
+            hedge: Makes the second try; returns None if no slot is free.
+        """
+        tasks: list[Task[Any]] = [create_task(first)]
+        try:
+            done, _ = await wait(tasks, timeout=delay_s)
+            if not done and self.budgets[route.name].spend():
+                HEDGES.labels(route.name).inc()
+                tasks.append(create_task(hedge()))
+            return await first_good(tasks)
+        finally:
+            await cancel_rest(tasks)
+
+
+async def first_good(tasks: list[Task[Any]]) -> Event:
+    """Returns the first whole answer, or how the first try ended."""
+    pending = set(tasks)
+    while pending:
+        done, pending = await wait(pending, return_when=FIRST_COMPLETED)
+        for task in done:
+            if is_good(task.result()):
+                return task.result()  # type: ignore[no-any-return]
+    return tasks[0].result()  # type: ignore[no-any-return]
+
+
+def is_good(event: Event | None) -> bool:
+    """Tells whether a try ended with an answer that is no failure."""
+    return (
+        isinstance(event, AnswerRead) and event.status < FIRST_FAILURE_STATUS
+    )
+
+
+async def cancel_rest(tasks: list[Task[Any]]) -> None:
+    """Cancels the tries that have not ended and waits for their end."""
+    rest: list[Awaitable[Any]] = [task for task in tasks if not task.done()]
+    for task in tasks:
+        task.cancel()
+    if rest:
+        await wait([task for task in tasks if not task.done()])
--- a/cowslipmill/entry/metrics.py
+++ b/cowslipmill/entry/metrics.py
@@ -7,3 +7,8 @@
     'Requests of callers by route and outcome.',
     ('route', 'outcome'),
 )
+HEDGES = Counter(
+    'cowslipmill_hedges_total',
+    'Second tries of idempotent requests by route.',
+    ('route',),
+)
--- /dev/null
+++ b/cowslipmill/entry/results.py
@@ -0,0 +1,56 @@
+"""What the end of a try says about its server."""
+
+from functools import singledispatch
+
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Result
+from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.tries.event import AnswerRead
+from cowslipmill.tries.event import ConnectFailed
+from cowslipmill.tries.event import Event
+from cowslipmill.tries.event import ExchangeBroken
+from cowslipmill.tries.event import Shed
+from cowslipmill.tries.event import Signals
+
+FIRST_FAILURE_STATUS = 500
+
+
+@singledispatch
+def report_of(event: Event) -> Report:
+    """Returns the report to the chooser."""
+    raise TypeError(f'not the end of a try: {event!r}')
+
+
+@report_of.register
+def report_answer(event: AnswerRead) -> Report:
+    """Counts a server error as a failure."""
+    failed = event.status >= FIRST_FAILURE_STATUS
+    result = Result.FAILED if failed else Result.ANSWERED
+    return Report(result, total_load(event.signals))
+
+
+@report_of.register
+def report_shed(event: Shed) -> Report:
+    """Counts a refusal as a failure; it is fast and attracts work."""
+    return Report(Result.FAILED, total_load(event.signals))
+
+
+@report_of.register
+def report_unsent(event: ConnectFailed) -> Report:
+    """Counts a connection that did not come about as a failure."""
+    return Report(Result.FAILED)
+
+
+@report_of.register
+def report_broken(event: ExchangeBroken) -> Report:
+    """Counts a broken exchange, but not an answer that is too large."""
+    if event.reason is Reason.ANSWER_TOO_LARGE:
+        return Report(Result.CANCELLED)
+    return Report(Result.FAILED)
+
+
+def total_load(signals: Signals) -> int | None:
+    """Returns the requests at a server by its report."""
+    if signals.load is None:
+        return None
+    return signals.load.in_flight + signals.load.queued
--- /dev/null
+++ b/cowslipmill/homes/grantor.py
@@ -0,0 +1,92 @@
+"""Drives homes: their timers and the tasks that wait for a lease."""
+
+from asyncio import Future
+from asyncio import get_running_loop
+from asyncio import timeout
+from collections.abc import Callable
+from collections.abc import Iterable
+from random import Random
+
+from mode import Service
+
+from cowslipmill.homes.home import Home
+from cowslipmill.homes.lease import Decision
+from cowslipmill.homes.lease import Granted
+from cowslipmill.homes.lease import Queued
+from cowslipmill.homes.lease import Refused
+from cowslipmill.homes.lease import Report
+from cowslipmill.homes.lease import Ticket
+from cowslipmill.homes.lease import TicketKey
+from cowslipmill.outcomes.outcome import Reason
+
+POLL_S = 0.01
+LOST_TICKET_RETRY_AFTER_MS = 100
+
+
+class Grantor(Service):
+    """The homes of one process.
+
+    Attributes:
+        homes: Homes by service.
+        waiters: Who waits for the decision on a queued ticket.
+    """
+
+    def __init__(self, clock: Callable[[], float], random: Random) -> None:
+        """Starts without homes."""
+        super().__init__()
+        self.clock = clock
+        self.random = random
+        self.homes: dict[str, Home] = {}
+        self.waiters: dict[TicketKey, Future[Decision]] = {}
+
+    @Service.task
+    async def poll(self) -> None:
+        """Ends tickets and leases whose time is over."""
+        while not self.should_stop:
+            await self.sleep(POLL_S)
+            for home in self.homes.values():
+                if home.leases or home.queue:
+                    self.deliver(home.poll(self.clock(), self.random))
+
+    def deliver(self, decisions: Iterable[Decision]) -> None:
+        """Wakes those that wait for one of the decisions."""
+        for decision in decisions:
+            waiter = self.waiters.pop(decision.key, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision)
+
+    def acquire(self, service: str, ticket: Ticket) -> Decision:
+        """Returns the present decision on a ticket."""
+        home = self.homes.get(service)
+        if home is None:
+            return Refused(ticket.key, Reason.STALE_VIEW, 0)
+        decision, *others = home.acquire(ticket, self.clock(), self.random)
+        self.deliver(others)
+        return decision
+
+    async def wait(
+        self, service: str, key: TicketKey, wait_s: float
+    ) -> Decision:
+        """Returns the decision on a queued ticket, or that it still waits."""
+        home = self.homes.get(service)
+        if home is not None and key in home.leases:
+            return Granted(key, home.leases[key].slots.fact)
+        if home is None or key not in home.queue.tickets:
+            return Refused(key, Reason.OVERLOADED, LOST_TICKET_RETRY_AFTER_MS)
+        waiter = get_running_loop().create_future()
+        self.waiters[key] = waiter
+        try:
+            async with timeout(wait_s):
+                decision: Decision = await waiter
+                return decision
+        except TimeoutError:
+            return Queued(key)
+        finally:
+            if self.waiters.get(key) is waiter:
+                del self.waiters[key]
+
+    def release(self, service: str, key: TicketKey, report: Report) -> None:
+        """Takes back a lease or a ticket."""
+        home = self.homes.get(service)
+        if home is not None:
+            self.deliver(home.release(key, report, self.clock(), self.random))
--- a/cowslipmill/homes/home.py
+++ b/cowslipmill/homes/home.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from cowslipmill.choice.ejection import eject_if_failing
-from cowslipmill.choice.health import Standing
 from cowslipmill.document.document import Service
 from cowslipmill.homes.lease import Decision
 from cowslipmill.homes.lease import Granted
@@ -29,7 +28,6 @@
 MAX_WAITING = 4_096
 MIN_RETRY_AFTER_MS = 100
 NO_SERVER_RETRY_AFTER_MS = 1_000
-TRIAL_GRACE_S = 5.0
 
 
 class Home:
@@ -70,8 +68,6 @@
         servers: Iterable[tuple[Fact, float]],
         now: float,
         random: Random,
-        *,
-        slots_per_server: int | None = None,
     ) -> list[Decision]:
         """Sets the servers that it owns.
 
@@ -80,10 +76,9 @@
             servers: Live servers, each with when it began to ramp up.
             now: Monotonic seconds.
             random: Breaks ties.
-            slots_per_server: In place of the service's own number.
         """
         self.service = service
-        count = slots_per_server or service.slots_per_server
+        count = service.slots_per_server
         owned = {}
         for fact, ramp_from in servers:
             slots = self.servers.get(fact.name)
@@ -98,7 +93,17 @@
             slots.count = count
             owned[fact.name] = slots
         self.servers = owned
-        return self.pump(now, random)
+        if owned:
+            return self.pump(now, random)
+        return self.refuse_all()
+
+    def refuse_all(self) -> list[Decision]:
+        """Sends waiting tickets elsewhere; no server is owned any more."""
+        tickets = list(self.queue.tickets.values())
+        self.queue = WaitQueue()
+        return [
+            Refused(ticket.key, Reason.STALE_VIEW, 0) for ticket in tickets
+        ]
 
     def acquire(
         self, ticket: Ticket, now: float, random: Random
@@ -120,6 +125,8 @@
         """Grants, queues or refuses a new ticket."""
         if ticket.deadline_at <= now:
             return self.refuse(ticket, Reason.DEADLINE, now, random)
+        if not self.servers:
+            return Refused(ticket.key, Reason.STALE_VIEW, 0)
         if all(name in ticket.excluded for name in self.servers):
             return Refused(
                 ticket.key, Reason.NO_SERVER, NO_SERVER_RETRY_AFTER_MS
@@ -227,24 +234,13 @@
         for slots in self.servers.values():
             if slots.fact.name in ticket.excluded:
                 continue
-            if not slots.has_room(now) or not self.may_try(ticket, slots, now):
+            if not slots.accepts(ticket, now):
                 continue
             rank = (*slots.rank(tried_domains, now), random.random())
             if best is None or rank < best_rank:
                 best, best_rank = slots, rank
         return best
 
-    def may_try(self, ticket: Ticket, slots: Slots, now: float) -> bool:
-        """Tells whether a ticket may go to a server in its present standing.
-
-        Only idempotent tickets try a server in probation, unless none has
-        come for a while.
-        """
-        health = slots.health
-        if health.standing is not Standing.PROBATION or ticket.idempotent:
-            return True
-        return now >= health.ejected_until + TRIAL_GRACE_S
-
     def grant(self, ticket: Ticket, slots: Slots, now: float) -> Granted:
         """Gives a ticket its slot."""
         slots.in_flight += 1
--- a/cowslipmill/homes/slots.py
+++ b/cowslipmill/homes/slots.py
@@ -5,6 +5,7 @@
 from math import ceil
 
 from cowslipmill.choice.health import Health
+from cowslipmill.choice.health import Standing
 from cowslipmill.homes.lease import Report
 from cowslipmill.homes.lease import Result
 from cowslipmill.homes.lease import Ticket
@@ -12,6 +13,7 @@
 
 LATENCY_WEIGHT = 0.2
 FOREIGN_MAX_AGE_S = 0.2
+TRIAL_GRACE_S = 5.0
 
 
 class Slots:
@@ -81,6 +83,19 @@
         """Tells whether a lease may be granted."""
         return self.occupied(now) < self.allowed(now)
 
+    def accepts(self, ticket: Ticket, now: float) -> bool:
+        """Tells whether a ticket may get a slot now.
+
+        Only idempotent tickets try a server in probation, unless none has
+        come for a while.
+        """
+        if not self.has_room(now):
+            return False
+        health = self.health
+        if ticket.idempotent or health.standing is not Standing.PROBATION:
+            return True
+        return now >= health.ejected_until + TRIAL_GRACE_S
+
     def rank(
         self, tried_domains: Collection[str], now: float
     ) -> tuple[bool, bool, float, float]:
--- a/cowslipmill/settings/settings.py
+++ b/cowslipmill/settings/settings.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 from msgspec import Struct
 
+from cowslipmill.choice.rule import Rule
 from cowslipmill.document.document import Name
 from cowslipmill.document.document import Share
 from cowslipmill.hosts.fact import Address
@@ -34,6 +35,8 @@
     """Settings of one entry process.
 
     `peer_keys` are shared by all hosts: the first signs, all are accepted.
+    `choice` is for comparison only; the rules other than `cowslipmill` keep
+    no limits.
     """
 
     name: Name
@@ -46,6 +49,7 @@
     agent: Address
     peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
     traces: TraceSettings = field(default_factory=TraceSettings)
+    choice: Rule = Rule.COWSLIPMILL
     readiness_wait_ms: DurationMs = 2_000
     stop_bound_ms: DurationMs = 30_000
 
--- a/cowslipmill/standin/main.py
+++ b/cowslipmill/standin/main.py
@@ -6,6 +6,7 @@
 from cowslipmill.runtime.program import load_program_settings
 from cowslipmill.runtime.program import run_program
 from cowslipmill.runtime.program import run_service
+from cowslipmill.standin.occupancy import Occupancy
 from cowslipmill.standin.platform import StandinPlatform
 from cowslipmill.standin.server import StandinServer
 from cowslipmill.standin.settings import StandinSettings
@@ -25,8 +26,9 @@
             await self.add_runtime_dependency(
                 StandinPlatform(self.settings.platform)
             )
+        occupancy = Occupancy()
         for server in self.settings.servers:
-            await self.add_runtime_dependency(StandinServer(server))
+            await self.add_runtime_dependency(StandinServer(server, occupancy))
 
 
 def main(arguments: list[str]) -> int:
--- a/cowslipmill/standin/server.py
+++ b/cowslipmill/standin/server.py
@@ -1,9 +1,11 @@
 """A stand-in backend server."""
 
 from asyncio import CancelledError
+from asyncio import Event
 from asyncio import get_running_loop
 from asyncio import Semaphore
 from asyncio import sleep
+from asyncio import timeout
 from random import Random
 from time import time
 
@@ -25,11 +27,13 @@
 from cowslipmill.standin.behaviour import Behaviour
 from cowslipmill.standin.ledger import Ending
 from cowslipmill.standin.ledger import Ledger
+from cowslipmill.standin.occupancy import Occupancy
 from cowslipmill.standin.settings import ServerSettings
 
 CONTROL_PREFIX = '/standin/'
 REQUEST_ID_HEADER = 'Request-Id'
 FOREVER_S = 3600.0
+MIN_SLOW_FACTOR = 0.001
 HEALTH_PATH = '/healthz'
 
 
@@ -44,10 +48,12 @@
         waiting: Requests that wait for a slot.
     """
 
-    def __init__(self, settings: ServerSettings) -> None:
+    def __init__(self, settings: ServerSettings, occupancy: Occupancy) -> None:
         """Starts without faults."""
         super().__init__()
         self.settings = settings
+        self.occupancy = occupancy
+        self.changed = Event()
         self.behaviour = Behaviour()
         self.ledger = Ledger()
         self.random = Random(settings.seed)
@@ -56,6 +62,7 @@
         self.waiting = 0
         self.incarnation = 0
         self.crashing = False
+        occupancy.add(settings.service, settings.name, self)
 
     async def on_start(self) -> None:
         """Listens."""
@@ -110,6 +117,7 @@
             return await self.control(request)
         if request.path == HEALTH_PATH:
             return self.report(Response(text='healthy\n'))
+        self.occupancy.arrive(self.settings.name)
         body = await request.read()
         behaviour = self.behaviour
         if behaviour.failing_fast:
@@ -147,7 +155,7 @@
                 execution.ending = Ending.CRASHED
                 self.add_future(self.crash(0.5))
                 await sleep(FOREVER_S)
-            await sleep(self.service_s())
+            await self.work(self.service_s())
             execution.ending = Ending.DONE
             content = json.encode(
                 {'server': self.settings.name, 'request_id': request_id}
@@ -169,11 +177,24 @@
             self.running -= 1
             self.slots.release()
 
+    async def work(self, work_s: float) -> None:
+        """Takes a time, longer while the server is slowed down."""
+        loop = get_running_loop()
+        while work_s > 0.0:
+            factor = max(self.behaviour.slow_factor, MIN_SLOW_FACTOR)
+            started_at = loop.time()
+            try:
+                async with timeout(work_s * factor):
+                    await self.changed.wait()
+            except TimeoutError:
+                return
+            work_s -= (loop.time() - started_at) / factor
+
     def service_s(self) -> float:
-        """Returns how long the next request takes."""
+        """Returns how long the next request takes at full speed."""
         if self.behaviour.frozen:
             return FOREVER_S
-        mean = self.settings.service_ms * self.behaviour.slow_factor
+        mean = self.settings.service_ms
         age_ms = (get_running_loop().time() - self.listening_since) * 1000
         if age_ms < self.settings.cold_ms:
             mean *= self.settings.cold_factor
@@ -196,6 +217,13 @@
         action = request.path.removeprefix(CONTROL_PREFIX)
         if action == 'ledger':
             return json_answer(self.ledger.executions)
+        if action == 'least':
+            query = request.query
+            excluded = query.get('excluded', '').split(',')
+            name = self.occupancy.choose_least(
+                query.get('service', self.settings.service), excluded
+            )
+            return Response(text=name)
         if action == 'occupancy':
             return json_answer([self.running, self.waiting])
         if action == 'crash':
@@ -209,6 +237,9 @@
                 )
             except ValidationError as error:
                 return Response(status=400, text=f'{error}\n')
+            # Requests that run now go on at the new speed.
+            self.changed.set()
+            self.changed = Event()
             return json_answer(self.behaviour)
         return Response(status=404)
 
