--- a/cowslipmill/entry/metrics.py
+++ b/cowslipmill/entry/metrics.py
@@ -57,3 +57,8 @@
     'cowslipmill_upstream_connections_opened_total',
     'Connections opened to backend servers.',
 )
+HEDGES = Counter(
+    'cowslipmill_hedges_total',
+    'Second tries of idempotent requests by route.',
+    ('route',),
+)
