--- a/cowslipmill/tries/advance.py
+++ b/cowslipmill/tries/advance.py
@@ -104,9 +104,11 @@
     """Permits the first byte unless the deadline passed meanwhile.
 
     A process that was paused wakes up here, so nothing may lie between this
-    check and the write.
+    check and the write. A hedge of an idempotent request comes here while
+    the first try is at its server.
     """
-    if exchange.phase is not Phase.CONNECTING:
+    hedged = exchange.phase is Phase.SENT and exchange.route.idempotent
+    if exchange.phase is not Phase.CONNECTING and not hedged:
         return exchange.give_up(Reason.CONNECT_FAILED, RETRY_AFTER_MS)
     remaining_ms = exchange.remaining_ms(now)
     if remaining_ms <= 0:
