--- /dev/null
+++ b/cowslipmill/resends/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests that callers send again."""
--- /dev/null
+++ b/cowslipmill/resends/tests/test_key.py
@@ -0,0 +1,48 @@
+"""Tests of keys."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+from testtools.matchers import Not
+
+from cowslipmill.resends.key import InvalidKey
+from cowslipmill.resends.key import KeyMint
+from cowslipmill.resends.key import MintedKey
+from cowslipmill.resends.key import OpaqueKey
+from cowslipmill.resends.key import read_key
+
+SECRETS = ('new-secret', 'old-secret')
+
+
+def test_a_minted_key_names_its_home() -> None:
+    """Keys signed with any accepted secret are read back."""
+    for secret in SECRETS:
+        mint = KeyMint('entry-1', 7, secret)
+        key = mint.mint(2.0, 1_000)
+        expected = MintedKey(key, 'entry-1', 7, 3_000)
+        assert_that(read_key(key, SECRETS), Equals(expected))
+        assert_that(mint.mint(2.0, 1_000), Not(Equals(key)))
+
+
+@pytest.mark.parametrize(
+    ('text', 'kind'),
+    [
+        ('8e03978e-40d5-43dd-bc93-6894a57f9324', OpaqueKey),
+        ('', InvalidKey),
+        ('x' * 256, InvalidKey),
+        ('cm1.', InvalidKey),
+        ('cm1.entry-1.7.1.3000.00', InvalidKey),
+        ('caf\u00e9', InvalidKey),
+    ],
+)
+def test_other_keys(text: str, kind: type) -> None:
+    """A made-up key is opaque unless it claims to be minted."""
+    assert_that(read_key(text, SECRETS), IsInstance(kind))
+
+
+def test_a_changed_claim_is_refused() -> None:
+    """The signature covers the home and the expiry."""
+    key = KeyMint('entry-1', 7, 'old-secret').mint(2.0, 1_000)
+    forged = key.replace('entry-1', 'entry-2')
+    assert_that(read_key(forged, SECRETS), IsInstance(InvalidKey))
--- /dev/null
+++ b/cowslipmill/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the servers that run them."""
