--- a/cowslipmill/entry/tests/test_listener.py
+++ b/cowslipmill/entry/tests/test_listener.py
@@ -25,6 +25,7 @@
 from cowslipmill.entry.listener import Listener
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import OutgoingRequest
+from cowslipmill.hosts.member import Member
 from cowslipmill.outcomes.outcome import Answered
 from cowslipmill.outcomes.outcome import Outcome
 
@@ -96,7 +97,15 @@
 @pytest_asyncio.fixture
 async def caller() -> AsyncIterator[Caller]:
     """Starts a listener on a free port."""
-    rules = Rules()
+    rules = Rules(
+        Member(
+            name='entry-0',
+            host='host-0',
+            failure_domain='domain-a',
+            incarnation=1,
+            peer_address='127.0.0.1:1',
+        )
+    )
     rules.put_in_force(
         Document(
             version=1,
--- a/cowslipmill/telemetry/logs.py
+++ b/cowslipmill/telemetry/logs.py
@@ -4,6 +4,7 @@
 from logging import INFO
 from logging import StreamHandler
 
+from mode import Service
 from pythonjsonlogger.json import JsonFormatter
 
 
@@ -32,4 +33,5 @@
     getLogger('websockets').setLevel('ERROR')
     getLogger('asyncio').setLevel('ERROR')
     getLogger('aiohttp').setLevel('CRITICAL')
-    getLogger('mode').setLevel('ERROR')
+    # Starts and stops of each service are no changes of the process's state.
+    Service.mundane_level = 'debug'
