Put keys and suspects between listener and dispatcher

A gate stands before the dispatcher. A non-idempotent request with a minted key runs only at the incarnation that minted it, which the key names with its address, so that no view of the fleet is needed to find it; other entries pass the request on, and a home out of reach means unknown. Each answer hands out a fresh key. An opaque key has its home by rendezvous over the members known; a home lost within the retention means unknown. Crash reports go to all entries in one message each; a suspect is tried only at its home by rendezvous, one at a time over the fleet.

A keyed request runs on when its caller leaves, so that its answer is there when it is sent again; a planned stop waits for such requests.

--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -7,6 +7,7 @@
 from cowslipmill.choice.chooser import Choice
 from cowslipmill.choice.chooser import Chooser
 from cowslipmill.choice.chooser import Demand
+from cowslipmill.choice.server import Server
 from cowslipmill.document.document import Route
 from cowslipmill.entry.firstbyte import FirstByteRefused
 from cowslipmill.entry.hedging import Hedging
@@ -19,6 +20,7 @@
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
+from cowslipmill.outcomes.outcome import Reason
 from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
 from cowslipmill.tries.action import Confirm
@@ -30,12 +32,15 @@
 from cowslipmill.tries.event import Connected
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
+from cowslipmill.tries.event import ExchangeBroken
 from cowslipmill.tries.event import ServerChosen
 from cowslipmill.tries.event import ServerRefused
 from cowslipmill.tries.exchange import Exchange
 
 MAX_CALLER_CHARS = 64
 
+OnLost = Callable[[Route, OutgoingRequest, Server], None]
+
 
 class Flight:
     """One request on its way.
@@ -84,9 +89,10 @@
         chooser: Finds servers.
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
+        on_lost: Called with each server that was lost with its request.
     """
 
-    __slots__ = ('chooser', 'clock', 'hedging', 'rules', 'upstream')
+    __slots__ = ('chooser', 'clock', 'hedging', 'on_lost', 'rules', 'upstream')
 
     def __init__(
         self,
@@ -101,6 +107,7 @@
         self.chooser = chooser
         self.clock = clock
         self.hedging = Hedging(clock)
+        self.on_lost: OnLost | None = None
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -200,6 +207,8 @@
                 server.fact, flight.request, permit
             )
             report = report_of(event)
+            if is_lost(event) and self.on_lost is not None:
+                self.on_lost(exchange.route, flight.request, server)
             if exchange.outcome is not None:
                 report = Report(Result.UNUSED)
             if report.result is Result.ANSWERED:
@@ -214,6 +223,14 @@
             choice.release(report)
 
 
+def is_lost(event: Event) -> bool:
+    """Tells whether a server broke its connection."""
+    return (
+        isinstance(event, ExchangeBroken)
+        and event.reason is Reason.CONNECTION_LOST
+    )
+
+
 def name_caller(request: OutgoingRequest) -> str:
     """Returns who sent a request: the name it gives, or its address."""
     headers = request.headers
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -11,6 +11,7 @@
 from cowslipmill.entry.choosers import build_chooser
 from cowslipmill.entry.dispatcher import Dispatcher
 from cowslipmill.entry.feedclient import FeedClient
+from cowslipmill.entry.gate import Gate
 from cowslipmill.entry.listener import Listener
 from cowslipmill.entry.peering import Peering
 from cowslipmill.entry.rules import Rules
@@ -18,9 +19,12 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.messages import LEASE_MESSAGES
 from cowslipmill.hosts.member import Member
+from cowslipmill.resends.messages import RESEND_MESSAGES
 from cowslipmill.settings.settings import EntrySettings
+from cowslipmill.suspects.messages import SUSPECT_MESSAGES
 from cowslipmill.telemetry.admin import Admin
 
+PEER_MESSAGES = (*LEASE_MESSAGES, *RESEND_MESSAGES, *SUSPECT_MESSAGES)
 REFRESH_INTERVAL_S = 0.02
 
 
@@ -56,12 +60,15 @@
         settings = self.settings
         clock = get_running_loop().time
         session = await self.add_async_context(open_session())
-        peering = Peering(settings, LEASE_MESSAGES, self.random)
+        peering = Peering(settings, PEER_MESSAGES, self.random)
         chooser = build_chooser(
             settings, self.rules, peering, session, clock, self.random
         )
         self.rules.on_refresh.append(chooser.refresh)
         dispatcher = Dispatcher(self.rules, Upstream(session), chooser, clock)
+        gate = Gate(
+            settings, self.incarnation, self.rules, dispatcher, peering, clock
+        )
         hello = Hello(
             entry=settings.name,
             address=settings.listen,
@@ -78,7 +85,7 @@
             FeedClient(settings.agent, hello, self.rules, self.random)
         )
         self.listener = await self.add_runtime_dependency(
-            Listener(settings.listen, self.rules, dispatcher, clock)
+            Listener(settings.listen, self.rules, gate, clock)
         )
 
     async def stop(self) -> None:
@@ -87,7 +94,9 @@
             self.stopping = True
             self.listener.stopping = True
             await sleep(self.settings.readiness_wait_ms / 1000)
-            await self.listener.drain(self.settings.stop_bound_ms / 1000)
+            bound_s = self.settings.stop_bound_ms / 1000
+            await self.listener.drain(bound_s)
+            await self.listener.gate.drain(bound_s)
         await super().stop()
 
     @Service.task
--- /dev/null
+++ b/cowslipmill/entry/gate.py
@@ -0,0 +1,292 @@
+"""Stands before the dispatcher: keys of resends and suspect requests."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+from multidict import CIMultiDict
+
+from cowslipmill.choice.server import Server
+from cowslipmill.document.document import Route
+from cowslipmill.entry.dispatcher import Dispatcher
+from cowslipmill.entry.keyhome import KeyHome
+from cowslipmill.entry.peering import Peering
+from cowslipmill.entry.rules import Rules
+from cowslipmill.entry.suspicion import Suspicion
+from cowslipmill.entry.upstream import OutgoingRequest
+from cowslipmill.outcomes.headers import KEY_HEADER
+from cowslipmill.outcomes.outcome import Answered
+from cowslipmill.outcomes.outcome import NotRun
+from cowslipmill.outcomes.outcome import Outcome
+from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.outcomes.outcome import Unknown
+from cowslipmill.peers.link import Unreachable
+from cowslipmill.resends.fingerprint import fingerprint
+from cowslipmill.resends.key import InvalidKey
+from cowslipmill.resends.key import KeyMint
+from cowslipmill.resends.key import MintedKey
+from cowslipmill.resends.key import OpaqueKey
+from cowslipmill.resends.key import read_key
+from cowslipmill.resends.messages import NotHome
+from cowslipmill.resends.messages import Passed
+from cowslipmill.resends.messages import PassOn
+from cowslipmill.resends.messages import to_message
+from cowslipmill.resends.messages import to_outcome
+from cowslipmill.resends.placement import find_home
+from cowslipmill.settings.settings import EntrySettings
+from cowslipmill.suspects.suspects import Trial
+
+RETRY_AFTER_MS = 1_000
+PASS_ON_MARGIN_MS = 20
+DEFAULT_MEMORY_MS = 600_000
+
+
+class Place(Struct, frozen=True):
+    """An incarnation of an entry and where it is reached."""
+
+    address: str
+    incarnation: int
+
+
+class Gate:
+    """Serves requests like the dispatcher, under two further promises.
+
+    A non-idempotent request with a minted key runs at most once in the
+    fleet, and a request that crashed servers is refused.
+
+    Attributes:
+        rules: What is in force.
+        dispatcher: Serves the requests.
+        peering: Messages to other entries.
+        mint: Mints the keys of this process.
+        secrets: Secrets whose keys are accepted.
+        home: Requests whose key names this process.
+        suspicion: Requests that crash servers.
+        clock: Returns monotonic seconds.
+    """
+
+    __slots__ = (
+        'clock',
+        'dispatcher',
+        'home',
+        'mint',
+        'peering',
+        'rules',
+        'secrets',
+        'suspicion',
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: int,
+        rules: Rules,
+        dispatcher: Dispatcher,
+        peering: Peering,
+        clock: Callable[[], float],
+    ) -> None:
+        """Takes in what other entries pass on from now on."""
+        self.rules = rules
+        self.dispatcher = dispatcher
+        self.peering = peering
+        self.clock = clock
+        self.secrets = settings.peer_keys
+        self.mint = KeyMint(
+            settings.name, incarnation, settings.peer_listen, self.secrets[0]
+        )
+        self.home = KeyHome(clock)
+        self.suspicion = Suspicion(settings.name, rules, peering, clock)
+        dispatcher.on_lost = self.report_lost
+        peering.register(PassOn, self.take_passed_on)
+
+    def next_key(self) -> str:
+        """Returns a fresh key for a caller."""
+        return self.mint.mint(self.clock(), self.memory_ms())
+
+    async def dispatch(
+        self, route: Route, request: OutgoingRequest, deadline_at: float
+    ) -> Outcome:
+        """Serves one request of a caller and returns its outcome."""
+        text = request.headers.get(KEY_HEADER)
+        if route.idempotent or text is None:
+            return await self.serve(route, request, deadline_at)
+        key = read_key(text, self.secrets)
+        if isinstance(key, InvalidKey):
+            return NotRun(Reason.KEY_INVALID, 0, key.detail)
+        if isinstance(key, OpaqueKey):
+            return await self.serve_opaque(key, route, request, deadline_at)
+        if not self.is_home(key):
+            place = Place(key.address, key.incarnation)
+            return await self.pass_on(
+                route, request, deadline_at, place, key.text
+            )
+        return await self.serve_at_home(key, route, request, deadline_at)
+
+    async def serve_opaque(
+        self,
+        key: OpaqueKey,
+        route: Route,
+        request: OutgoingRequest,
+        deadline_at: float,
+    ) -> Outcome:
+        """Serves a request with a key that the caller made up."""
+        home = find_home(key.text, self.rules.members, self.memory_ms())
+        if home is None:
+            detail = 'the entry that remembered the key was lost'
+            return Unknown(Reason.KEY_HOME_GONE, RETRY_AFTER_MS, detail)
+        if home.name == self.mint.entry:
+            return await self.serve_at_home(key, route, request, deadline_at)
+        place = Place(home.peer_address, home.incarnation)
+        return await self.pass_on(route, request, deadline_at, place, key.text)
+
+    def memory_ms(self) -> int:
+        """Returns how long outcomes are remembered."""
+        if self.rules.document is None:
+            return DEFAULT_MEMORY_MS
+        return self.rules.document.resend_memory_ms
+
+    def is_home(self, key: MintedKey) -> bool:
+        """Tells whether this incarnation minted a key."""
+        mint = self.mint
+        return (key.entry, key.incarnation) == (mint.entry, mint.incarnation)
+
+    async def serve_at_home(
+        self,
+        key: MintedKey | OpaqueKey,
+        route: Route,
+        request: OutgoingRequest,
+        deadline_at: float,
+    ) -> Outcome:
+        """Serves a request whose key has its home here."""
+        expires_at = deadline_at + self.memory_ms() / 1000
+        if isinstance(key, MintedKey):
+            expires_at = key.expires_ms / 1000
+        if self.clock() >= expires_at:
+            detail = 'the key has expired and its outcome is not remembered'
+            return Unknown(Reason.KEY_HOME_GONE, 0, detail)
+        return await self.home.serve(
+            key.text,
+            fingerprint_of(route, request),
+            expires_at,
+            lambda: self.serve(route, request, deadline_at),
+        )
+
+    async def serve(
+        self, route: Route, request: OutgoingRequest, deadline_at: float
+    ) -> Outcome:
+        """Serves a request unless it is suspected of crashing servers."""
+        mark = fingerprint_of(route, request)
+        if not self.suspicion.suspects.is_suspect(mark):
+            return await self.dispatcher.dispatch(route, request, deadline_at)
+        home = self.suspicion.find_home(mark)
+        if home is None:
+            return await self.try_suspect(mark, route, request, deadline_at)
+        place = Place(home.peer_address, home.incarnation)
+        return await self.pass_on(route, request, deadline_at, place, '')
+
+    async def try_suspect(
+        self,
+        mark: bytes,
+        route: Route,
+        request: OutgoingRequest,
+        deadline_at: float,
+    ) -> Outcome:
+        """Serves a suspect request if its one trial is due."""
+        verdict = self.suspicion.suspects.check(mark, self.clock())
+        if isinstance(verdict, NotRun):
+            return verdict
+        try:
+            outcome = await self.dispatcher.dispatch(
+                route, request, deadline_at
+            )
+        finally:
+            if isinstance(verdict, Trial):
+                self.suspicion.suspects.end_trial(mark)
+        if isinstance(outcome, Answered):
+            self.suspicion.clear(mark)
+        return outcome
+
+    def report_lost(
+        self, route: Route, request: OutgoingRequest, server: Server
+    ) -> None:
+        """Takes in that a server was lost while it had a request."""
+        self.suspicion.report_lost(fingerprint_of(route, request), server)
+
+    async def pass_on(
+        self,
+        route: Route,
+        request: OutgoingRequest,
+        deadline_at: float,
+        place: Place,
+        key: str,
+    ) -> Outcome:
+        """Has another entry serve a request and returns its outcome."""
+        remaining_s = deadline_at - self.clock()
+        message = PassOn(
+            key=key,
+            incarnation=place.incarnation,
+            route=route.name,
+            method=request.method,
+            target=request.target,
+            headers=tuple(request.headers.items()),
+            body=request.body,
+            deadline_ms=max(0, int(remaining_s * 1000) - PASS_ON_MARGIN_MS),
+        )
+        reply = await self.peering.call(place.address, message, remaining_s)
+        if isinstance(reply, Passed):
+            return to_outcome(reply)
+        if key:
+            detail = 'the entry that minted the key is out of reach'
+            return Unknown(Reason.KEY_HOME_GONE, RETRY_AFTER_MS, detail)
+        if isinstance(reply, Unreachable) and reply.sent:
+            return Unknown(Reason.SUSPECT, RETRY_AFTER_MS)
+        return NotRun(Reason.SUSPECT, RETRY_AFTER_MS)
+
+    async def take_passed_on(
+        self, message: PassOn, peer: str
+    ) -> Passed | NotHome:
+        """Serves a request that another entry passed on."""
+        if message.incarnation != self.mint.incarnation:
+            return NotHome()
+        route = self.find_route(message.route)
+        if route is None:
+            return to_message(NotRun(Reason.NO_ROUTE, 0))
+        request = OutgoingRequest(
+            message.method,
+            message.target,
+            CIMultiDict(message.headers),
+            message.body,
+            route.max_answer_bytes,
+        )
+        deadline_at = self.clock() + message.deadline_ms / 1000
+        if not message.key:
+            mark = fingerprint_of(route, request)
+            return to_message(
+                await self.try_suspect(mark, route, request, deadline_at)
+            )
+        key = read_key(message.key, self.secrets)
+        if isinstance(key, InvalidKey):
+            return NotHome()
+        if isinstance(key, MintedKey) and not self.is_home(key):
+            return NotHome()
+        outcome = await self.serve_at_home(key, route, request, deadline_at)
+        return to_message(outcome)
+
+    def find_route(self, name: str) -> Route | None:
+        """Returns the route of this name in the document in force."""
+        if self.rules.document is None:
+            return None
+        for route in self.rules.document.routes:
+            if route.name == name:
+                return route
+        return None
+
+    async def drain(self, bound_s: float) -> None:
+        """Ends the requests that other entries passed on."""
+        await self.home.drain(bound_s)
+
+
+def fingerprint_of(route: Route, request: OutgoingRequest) -> bytes:
+    """Returns the hash by which a request is known again."""
+    return fingerprint(
+        route.name, request.method, request.target, request.body
+    )
--- /dev/null
+++ b/cowslipmill/entry/keyhome.py
@@ -0,0 +1,84 @@
+"""Runs the requests whose key names this process, each at most once."""
+
+from asyncio import create_task
+from asyncio import Event
+from asyncio import shield
+from asyncio import Task
+from asyncio import timeout
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from cowslipmill.outcomes.outcome import Outcome
+from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.outcomes.outcome import Unknown
+from cowslipmill.resends.memory import ResendMemory
+from cowslipmill.resends.memory import Run
+from cowslipmill.resends.memory import Tell
+
+RETRY_AFTER_MS = 1_000
+
+Runner = Callable[[], Awaitable[Outcome]]
+
+
+class KeyHome:
+    """The memory of this process and the keyed requests that it runs.
+
+    A keyed request runs to its outcome or its deadline even when its caller
+    leaves, so that the caller finds the answer when it sends it again.
+
+    Attributes:
+        memory: Outcomes by key.
+        clock: Returns monotonic seconds.
+        running: Requests that run now, by key.
+        idle: Set whenever none runs.
+    """
+
+    __slots__ = ('clock', 'idle', 'memory', 'running')
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Starts with nothing remembered."""
+        self.memory = ResendMemory()
+        self.clock = clock
+        self.running: dict[str, Task[Outcome]] = {}
+        self.idle = Event()
+        self.idle.set()
+
+    async def serve(
+        self, key: str, fingerprint: bytes, forget_at: float, run: Runner
+    ) -> Outcome:
+        """Returns the outcome of a key, running its request if it is new.
+
+        Args:
+            key: The key.
+            fingerprint: Hash of the request.
+            forget_at: Until when the outcome is remembered.
+            run: Serves the request.
+        """
+        now = self.clock()
+        verdict = self.memory.admit(key, fingerprint, now, forget_at)
+        if isinstance(verdict, Tell):
+            return verdict.outcome
+        if isinstance(verdict, Run):
+            self.running[key] = create_task(self.run(key, run))
+            self.idle.clear()
+        return await shield(self.running[key])
+
+    async def run(self, key: str, run: Runner) -> Outcome:
+        """Serves one request and remembers its outcome."""
+        outcome: Outcome = Unknown(Reason.INTERNAL_ERROR, RETRY_AFTER_MS)
+        try:
+            outcome = await run()
+            return outcome
+        finally:
+            self.memory.settle(key, outcome)
+            del self.running[key]
+            if not self.running:
+                self.idle.set()
+
+    async def drain(self, bound_s: float) -> None:
+        """Waits for the requests that run, for a bounded time."""
+        try:
+            async with timeout(bound_s):
+                await self.idle.wait()
+        except TimeoutError:
+            return
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -18,7 +18,7 @@
 from cowslipmill.document.document import Route
 from cowslipmill.entry.connection import CallerConnection
 from cowslipmill.entry.connection import CallerServer
-from cowslipmill.entry.dispatcher import Dispatcher
+from cowslipmill.entry.gate import Gate
 from cowslipmill.entry.metrics import INTERNAL_ERRORS
 from cowslipmill.entry.metrics import REQUEST_DURATION
 from cowslipmill.entry.metrics import REQUESTS
@@ -29,6 +29,7 @@
 from cowslipmill.entry.requesthead import read_deadline_ms
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import OutgoingRequest
+from cowslipmill.outcomes.headers import NEXT_KEY_HEADER
 from cowslipmill.outcomes.outcome import Answered
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
@@ -59,7 +60,7 @@
 
     Attributes:
         rules: What is in force.
-        dispatcher: Serves the requests.
+        gate: Serves the requests.
         stopping: Whether callers are told to close their connections.
         cutting: Whether requests in flight are ended without their answer.
         dispatching: Tasks of the requests in flight, each with whether it
@@ -70,14 +71,14 @@
         self,
         address: str,
         rules: Rules,
-        dispatcher: Dispatcher,
+        gate: Gate,
         clock: Callable[[], float],
     ) -> None:
         """Keeps the address and the parts."""
         super().__init__()
         self.address = address
         self.rules = rules
-        self.dispatcher = dispatcher
+        self.gate = gate
         self.clock = clock
         self.stopping = False
         self.cutting = False
@@ -197,6 +198,7 @@
             body=rendered.body,
         )
         answer.headers.setdefault('Server', SERVER_NAME)
+        answer.headers[NEXT_KEY_HEADER] = self.gate.next_key()
         if isinstance(outcome, Answered):
             REQUESTS.labels(route, 'answered', '').inc()
         else:
@@ -245,4 +247,4 @@
         deadline_ms = read_deadline_ms(request, route.deadline_ms)
         deadline_at = arrived_at + deadline_ms / 1000
         self.dispatching[task] = True
-        return await self.dispatcher.dispatch(route, outgoing, deadline_at)
+        return await self.gate.dispatch(route, outgoing, deadline_at)
--- a/cowslipmill/entry/metrics.py
+++ b/cowslipmill/entry/metrics.py
@@ -57,6 +57,11 @@
     'cowslipmill_upstream_connections_opened_total',
     'Connections opened to backend servers.',
 )
+SUSPECT_REPORTS = Counter(
+    'cowslipmill_suspect_reports_total',
+    'Crash reports and clearances of suspect requests by this entry.',
+    ('kind',),
+)
 HEDGES = Counter(
     'cowslipmill_hedges_total',
     'Second tries of idempotent requests by route.',
--- /dev/null
+++ b/cowslipmill/entry/suspicion.py
@@ -0,0 +1,89 @@
+"""Refuses requests that crash servers, together with the other entries."""
+
+from collections.abc import Callable
+
+from cowslipmill.choice.server import Server
+from cowslipmill.entry.metrics import SUSPECT_REPORTS
+from cowslipmill.entry.peering import Peering
+from cowslipmill.entry.rules import Rules
+from cowslipmill.homes.rendezvous import rank
+from cowslipmill.hosts.fact import State
+from cowslipmill.hosts.member import Member
+from cowslipmill.suspects.messages import CrashReport
+from cowslipmill.suspects.messages import SuspectCleared
+from cowslipmill.suspects.suspects import Suspects
+
+
+class Suspicion:
+    """The suspects of this entry, kept alike with those of its peers.
+
+    Attributes:
+        name: Name of this entry.
+        suspects: What is known.
+        rules: Names the other entries.
+        peering: Messages to them.
+        clock: Returns monotonic seconds.
+    """
+
+    __slots__ = ('clock', 'name', 'peering', 'rules', 'suspects')
+
+    def __init__(
+        self,
+        name: str,
+        rules: Rules,
+        peering: Peering,
+        clock: Callable[[], float],
+    ) -> None:
+        """Takes in the reports of peers from now on."""
+        self.name = name
+        self.suspects = Suspects()
+        self.rules = rules
+        self.peering = peering
+        self.clock = clock
+        peering.register(CrashReport, self.take_report)
+        peering.register(SuspectCleared, self.take_clearance)
+
+    def live_members(self) -> list[Member]:
+        """Returns the entries that are not gone."""
+        return [
+            member
+            for member in self.rules.members
+            if member.state is not State.GONE
+        ]
+
+    def find_home(self, fingerprint: bytes) -> Member | None:
+        """Returns the entry that alone may try a suspect, None if this."""
+        members = {member.name: member for member in self.live_members()}
+        names = rank(fingerprint.hex(), members)
+        if not names or names[0] == self.name:
+            return None
+        return members[names[0]]
+
+    def report_lost(self, fingerprint: bytes, server: Server) -> None:
+        """Notes a crash and tells every other entry."""
+        name = f'{server.name}/{server.fact.incarnation}'
+        SUSPECT_REPORTS.labels('crash').inc()
+        self.suspects.report_crash(fingerprint, name, self.clock())
+        self.tell_all(CrashReport(fingerprint, name))
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Ends a suspicion everywhere after a whole answer."""
+        if self.suspects.clear(fingerprint):
+            SUSPECT_REPORTS.labels('cleared').inc()
+            self.tell_all(SuspectCleared(fingerprint))
+
+    def tell_all(self, message: CrashReport | SuspectCleared) -> None:
+        """Sends a message to every other entry."""
+        for member in self.live_members():
+            if member.name != self.name:
+                self.peering.send(member.peer_address, message)
+
+    async def take_report(self, message: CrashReport, peer: str) -> None:
+        """Takes in a crash that another entry saw."""
+        self.suspects.report_crash(
+            message.fingerprint, message.server, self.clock()
+        )
+
+    async def take_clearance(self, message: SuspectCleared, peer: str) -> None:
+        """Takes in that a suspect was answered elsewhere."""
+        self.suspects.clear(message.fingerprint)
--- a/cowslipmill/entry/tests/test_listener.py
+++ b/cowslipmill/entry/tests/test_listener.py
@@ -54,6 +54,10 @@
         self.held.set()
         self.cancelled = asyncio.Event()
 
+    def next_key(self) -> str:
+        """Returns a key for the caller."""
+        return 'next'
+
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
     ) -> Outcome:
--- a/cowslipmill/outcomes/headers.py
+++ b/cowslipmill/outcomes/headers.py
@@ -4,6 +4,10 @@
 DEADLINE_HEADER = 'Cowslipmill-Deadline-Ms'
 # From a caller: who it is, for fairness between callers.
 CALLER_HEADER = 'Cowslipmill-Caller'
+# From a caller with a non-idempotent request: names it when sent again.
+KEY_HEADER = 'Idempotency-Key'
+# To a caller with each answer: a fresh key for its next request.
+NEXT_KEY_HEADER = 'Cowslipmill-Next-Key'
 # From a server with status 503: proof that it did not start the request.
 NOT_STARTED_HEADER = 'Cowslipmill-Not-Started'
 # From a server on any answer: it takes no new work any more.
--- a/cowslipmill/resends/key.py
+++ b/cowslipmill/resends/key.py
@@ -5,7 +5,7 @@
 from hmac import compare_digest
 from hmac import digest
 
-MINTED_PREFIX = 'cm1.'
+MINTED_PREFIX = 'cm1_'
 MAX_KEY_CHARS = 255
 SIGNATURE_BYTES = 16
 
@@ -18,12 +18,14 @@
         text: The whole key.
         entry: Name of the entry that minted it.
         incarnation: Incarnation of that entry.
+        address: Where other entries reach it.
         expires_ms: When it expires, on that incarnation's own clock.
     """
 
     text: str
     entry: str
     incarnation: int
+    address: str
     expires_ms: int
 
 
@@ -55,16 +57,20 @@
     Attributes:
         entry: Name of the entry.
         incarnation: Its incarnation.
+        address: Where other entries reach it.
         secret: Signs.
         sequence: Keys minted so far.
     """
 
-    __slots__ = ('entry', 'incarnation', 'secret', 'sequence')
+    __slots__ = ('address', 'entry', 'incarnation', 'secret', 'sequence')
 
-    def __init__(self, entry: str, incarnation: int, secret: str) -> None:
+    def __init__(
+        self, entry: str, incarnation: int, address: str, secret: str
+    ) -> None:
         """Starts the sequence."""
         self.entry = entry
         self.incarnation = incarnation
+        self.address = address
         self.secret = secret
         self.sequence = 0
 
@@ -78,10 +84,10 @@
         self.sequence += 1
         expires_ms = int(now * 1000) + lifetime_ms
         claim = (
-            f'{MINTED_PREFIX}{self.entry}.{self.incarnation}'
-            f'.{self.sequence}.{expires_ms}'
+            f'{MINTED_PREFIX}{self.entry}_{self.incarnation}'
+            f'_{self.address}_{self.sequence}_{expires_ms}'
         )
-        return f'{claim}.{sign(claim, self.secret)}'
+        return f'{claim}_{sign(claim, self.secret)}'
 
 
 def sign(claim: str, secret: str) -> str:
@@ -103,10 +109,10 @@
         return InvalidKey(f'a key has 1 to {MAX_KEY_CHARS} ASCII characters')
     if not text.startswith(MINTED_PREFIX):
         return OpaqueKey(text)
-    claim, _, signature = text.rpartition('.')
+    claim, _, signature = text.rpartition('_')
     if not any(
         compare_digest(sign(claim, secret), signature) for secret in secrets
     ):
         return InvalidKey('no entry of this deployment minted this key')
-    entry, incarnation, _, expires_ms = claim.split('.')[1:]
-    return MintedKey(text, entry, int(incarnation), int(expires_ms))
+    entry, incarnation, address, _, expires_ms = claim.split('_')[1:]
+    return MintedKey(text, entry, int(incarnation), address, int(expires_ms))
--- a/cowslipmill/resends/tests/test_key.py
+++ b/cowslipmill/resends/tests/test_key.py
@@ -12,15 +12,16 @@
 from cowslipmill.resends.key import OpaqueKey
 from cowslipmill.resends.key import read_key
 
+ADDRESS = '127.0.0.1:8082'
 SECRETS = ('new-secret', 'old-secret')
 
 
 def test_a_minted_key_names_its_home() -> None:
     """Keys signed with any accepted secret are read back."""
     for secret in SECRETS:
-        mint = KeyMint('entry-1', 7, secret)
+        mint = KeyMint('entry-1', 7, ADDRESS, secret)
         key = mint.mint(2.0, 1_000)
-        expected = MintedKey(key, 'entry-1', 7, 3_000)
+        expected = MintedKey(key, 'entry-1', 7, ADDRESS, 3_000)
         assert_that(read_key(key, SECRETS), Equals(expected))
         assert_that(mint.mint(2.0, 1_000), Not(Equals(key)))
 
@@ -31,8 +32,8 @@
         ('8e03978e-40d5-43dd-bc93-6894a57f9324', OpaqueKey),
         ('', InvalidKey),
         ('x' * 256, InvalidKey),
-        ('cm1.', InvalidKey),
-        ('cm1.entry-1.7.1.3000.00', InvalidKey),
+        ('cm1_', InvalidKey),
+        ('cm1_entry-1_7_127.0.0.1:8082_1_3000_00', InvalidKey),
         ('caf\u00e9', InvalidKey),
     ],
 )
@@ -43,6 +44,6 @@
 
 def test_a_changed_claim_is_refused() -> None:
     """The signature covers the home and the expiry."""
-    key = KeyMint('entry-1', 7, 'old-secret').mint(2.0, 1_000)
+    key = KeyMint('entry-1', 7, ADDRESS, 'old-secret').mint(2.0, 1_000)
     forged = key.replace('entry-1', 'entry-2')
     assert_that(read_key(forged, SECRETS), IsInstance(InvalidKey))
--- /dev/null
+++ b/cowslipmill/resends/tests/test_placement.py
@@ -0,0 +1,52 @@
+"""Tests of the homes of opaque keys."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import Is
+
+from cowslipmill.homes.rendezvous import rank
+from cowslipmill.hosts.fact import State
+from cowslipmill.hosts.member import Member
+from cowslipmill.resends.placement import find_home
+
+MEMORY_MS = 60_000
+NAMES = ('entry-0', 'entry-1', 'entry-2')
+FIRST, SECOND, _ = rank('key', NAMES)
+
+
+def make_members(state: State, changed_ms_ago: int) -> list[Member]:
+    """Returns three members; the first home of the key is in a state."""
+    return [
+        Member(
+            name=name,
+            host=name,
+            failure_domain='domain-a',
+            incarnation=1,
+            peer_address='127.0.0.1:8082',
+            state=state if name == FIRST else State.LIVE,
+            changed_ms_ago=changed_ms_ago,
+        )
+        for name in NAMES
+    ]
+
+
+@pytest.mark.parametrize('state', [State.LIVE, State.LEAVING])
+def test_the_first_in_rank_is_home(state: State) -> None:
+    """A home that leaves still answers for its keys."""
+    home = find_home('key', make_members(state, 0), MEMORY_MS)
+    assert home is not None
+    assert_that(home.name, Equals(FIRST))
+
+
+def test_keys_of_a_lost_home_have_none() -> None:
+    """No other entry runs them while an outcome may be remembered."""
+    members = make_members(State.GONE, MEMORY_MS - 1)
+    assert_that(find_home('key', members, MEMORY_MS), Is(None))
+
+
+def test_keys_move_on_after_the_retention() -> None:
+    """The next in rank is home once nothing can be remembered."""
+    home = find_home('key', make_members(State.GONE, MEMORY_MS), MEMORY_MS)
+    assert home is not None
+    assert_that(home.name, Equals(SECOND))
