--- a/cowslipmill/entry/gate.py
+++ b/cowslipmill/entry/gate.py
@@ -227,7 +227,7 @@
             route=route.name,
             method=request.method,
             target=request.target,
-            headers=tuple(request.headers.items()),
+            headers=plain_headers(request),
             body=request.body,
             deadline_ms=max(0, int(remaining_s * 1000) - PASS_ON_MARGIN_MS),
         )
@@ -285,6 +285,13 @@
         await self.home.drain(bound_s)
 
 
+def plain_headers(request: OutgoingRequest) -> tuple[tuple[str, str], ...]:
+    """Returns the headers in types that a message can carry."""
+    return tuple(
+        (str(name), str(value)) for name, value in request.headers.items()
+    )
+
+
 def fingerprint_of(route: Route, request: OutgoingRequest) -> bytes:
     """Returns the hash by which a request is known again."""
     return fingerprint(
--- a/cowslipmill/resends/messages.py
+++ b/cowslipmill/resends/messages.py
@@ -73,7 +73,10 @@
     match outcome:
         case Answered(status, headers, body, server):
             return PassedAnswer(
-                status=status, headers=headers, body=body, server=server
+                status=status,
+                headers=tuple((str(k), str(v)) for k, v in headers),
+                body=body,
+                server=server,
             )
         case NotRun(reason, retry_after_ms, detail):
             return PassedNotRun(reason, retry_after_ms, detail)
--- a/cowslipmill/suspects/suspects.py
+++ b/cowslipmill/suspects/suspects.py
@@ -6,6 +6,7 @@
 from cowslipmill.outcomes.outcome import Reason
 
 CRASH_LIMIT = 2
+SAME_CRASH_MS = 250
 MAX_RECORDS = 4_096
 FORGET_MS = 600_000
 FIRST_PENALTY_MS = 1_000
@@ -30,7 +31,8 @@
     """What is known of one request.
 
     Attributes:
-        servers: Servers that crashed while they ran it.
+        crashes: Crashes of servers that ran it.
+        crashed_at: When each of those servers crashed last.
         penalty_ms: How long it is refused after the next crash.
         refused_until: Monotonic seconds.
         trial_until: When a trial that did not end is given up.
@@ -39,20 +41,38 @@
 
     __slots__ = (
         'changed_at',
+        'crashed_at',
+        'crashes',
         'penalty_ms',
         'refused_until',
-        'servers',
         'trial_until',
     )
 
     def __init__(self) -> None:
         """Starts without a crash."""
-        self.servers: set[str] = set()
+        self.crashes = 0
+        self.crashed_at: dict[str, float] = {}
         self.penalty_ms = FIRST_PENALTY_MS
         self.refused_until = 0.0
         self.trial_until = 0.0
         self.changed_at = 0.0
 
+    def is_same_crash(self, server: str, now: float) -> bool:
+        """Tells whether another entry reported this crash already."""
+        crashed_at = self.crashed_at.get(server)
+        if crashed_at is None:
+            return False
+        return now - crashed_at < SAME_CRASH_MS / 1000
+
+    def drop_past_crashes(self, now: float) -> None:
+        """Drops the crashes that no further report can belong to."""
+        since = now - SAME_CRASH_MS / 1000
+        self.crashed_at = {
+            server: crashed_at
+            for server, crashed_at in self.crashed_at.items()
+            if crashed_at > since
+        }
+
 
 class Suspects:
     """Crash reports by the fingerprint of the request.
@@ -72,7 +92,7 @@
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Tells whether a request has crashed too many servers."""
         record = self.records.get(fingerprint)
-        return record is not None and len(record.servers) >= CRASH_LIMIT
+        return record is not None and record.crashes >= CRASH_LIMIT
 
     def check(self, fingerprint: bytes, now: float) -> Verdict:
         """Decides whether a request may be served now.
@@ -82,7 +102,7 @@
             now: Monotonic seconds.
         """
         record = self.records.get(fingerprint)
-        if record is None or len(record.servers) < CRASH_LIMIT:
+        if record is None or record.crashes < CRASH_LIMIT:
             return Allow()
         if now - record.changed_at > FORGET_MS / 1000:
             del self.records[fingerprint]
@@ -110,12 +130,14 @@
         record = self.records.pop(fingerprint, None) or Record()
         self.records[fingerprint] = record
         self.bound()
-        if server in record.servers:
+        if record.is_same_crash(server, now):
             return False
-        record.servers.add(server)
+        record.drop_past_crashes(now)
+        record.crashed_at[server] = now
+        record.crashes += 1
         record.changed_at = now
         record.trial_until = 0.0
-        if len(record.servers) >= CRASH_LIMIT:
+        if record.crashes >= CRASH_LIMIT:
             record.refused_until = now + record.penalty_ms / 1000
             record.penalty_ms = min(2 * record.penalty_ms, MAX_PENALTY_MS)
         return True
--- a/cowslipmill/suspects/tests/test_suspects.py
+++ b/cowslipmill/suspects/tests/test_suspects.py
@@ -95,3 +95,11 @@
     for name in (b'a', b'b', b'c'):
         suspects.report_crash(name, 'server-1', 0.0)
     assert_that(list(suspects.records), Equals([b'b', b'c']))
+
+
+def test_the_same_server_counts_again_after_its_restart() -> None:
+    """A request that crashes one server over and over is stopped too."""
+    suspects = Suspects()
+    for now in (0.0, 1.0):
+        suspects.report_crash(CRASHER, 'server-1', now)
+    assert_that(suspects.check(CRASHER, 1.0), IsInstance(NotRun))
