--- a/cowslipmill/faults/tests/fleet.py
+++ b/cowslipmill/faults/tests/fleet.py
@@ -6,6 +6,7 @@
 from asyncio import StreamReader
 from asyncio import StreamWriter
 from asyncio import timeout
+from asyncio import to_thread
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -272,7 +273,7 @@
                     yield fleet
                 finally:
                     fleet.resume_all()
-                    launcher.stop_all()
+                    await to_thread(launcher.stop_all)
 
 
 @asynccontextmanager
