--- a/cowslipmill/entry/tests/conftest.py
+++ b/cowslipmill/entry/tests/conftest.py
@@ -1,10 +1,14 @@
 """Runs the tests of this slice on the event loop of the programs."""
 
-import pytest
-from uvloop import EventLoopPolicy
+from asyncio import AbstractEventLoop
+from collections.abc import Callable
+from collections.abc import Mapping
 
+from uvloop import new_event_loop
 
-@pytest.fixture(scope='session')
-def event_loop_policy() -> EventLoopPolicy:
-    """Returns the policy that makes the programs' event loop."""
-    return EventLoopPolicy()
+
+def pytest_asyncio_loop_factories() -> Mapping[
+    str, Callable[[], AbstractEventLoop]
+]:
+    """Returns the factory of the programs' event loop."""
+    return {'uvloop': new_event_loop}
