--- a/cowslipmill/check/main.py
+++ b/cowslipmill/check/main.py
@@ -68,4 +68,4 @@
         list(FILE_KINDS),
         'What the file is to be checked as.',
     )
-    run_program(main)
+    run_program(main, arguments='FILE')
--- a/cowslipmill/runtime/program.py
+++ b/cowslipmill/runtime/program.py
@@ -14,10 +14,10 @@
 from signal import SIGINT
 from signal import SIGTERM
 import sys
+from textwrap import fill
 from typing import NoReturn
 from typing import TypeVar
 
-from absl import app
 from absl import flags
 from mode import Service
 from msgspec import Struct
@@ -31,6 +31,7 @@
 
 USAGE_STATUS = 2
 FAILURE_STATUS = 1
+HELP_COLUMNS = 79
 
 
 class UsageError(Exception):
@@ -50,26 +51,71 @@
         super().__init__(f'$.{field}: {address}: {reason}')
 
 
-def run_program(main: Callable[[list[str]], int]) -> NoReturn:
+def run_program(
+    main: Callable[[list[str]], int], *, arguments: str = ''
+) -> NoReturn:
     """Runs a program's main function behind its command line.
 
     Args:
         main: Takes the arguments that are left after the flags and returns
             the exit status.
+        arguments: The program's arguments as the usage line names them.
     """
     flags.DEFINE_bool('version', False, 'Print the version and exit.')
+    flags.DEFINE_bool('help', False, 'Print this help and exit.')
     try:
-        arguments = flags.FLAGS(sys.argv)
+        left = flags.FLAGS(sys.argv)
     except flags.Error as error:
         fail(str(error))
+    if flags.FLAGS.help:
+        print(describe_program(main, arguments))
+        sys.exit(0)
     if flags.FLAGS.version:
         print(VERSION)
         sys.exit(0)
+    if len(left) > 1 and not arguments:
+        fail(f'{left[1]}: this program takes no arguments')
     try:
-        app.run(main, argv=arguments, flags_parser=lambda argv: argv)
+        status = main(left)
     except (CannotListen, InvalidSettings, UsageError) as error:
         fail(str(error))
-    raise SystemExit(FAILURE_STATUS)
+    sys.exit(status)
+
+
+def describe_program(
+    main: Callable[[list[str]], int], arguments: str = ''
+) -> str:
+    """Returns the usage line, the purpose and the flags of a program."""
+    name = Path(sys.argv[0]).name
+    usage = f'usage: {name} [flags] {arguments}'.rstrip()
+    lines = [usage, '', (main.__doc__ or '').strip(), '', 'flags:']
+    own = [flag for flag in sorted(flags.FLAGS) if is_own_flag(flag)]
+    for flag in own:
+        lines += describe_flag(flag)
+    return '\n'.join(lines)
+
+
+def describe_flag(name: str) -> list[str]:
+    """Returns the lines of the help about one flag."""
+    flag = flags.FLAGS[name]
+    shape = name if flag.boolean else f'{name}=VALUE'
+    text = str(flag.help)
+    if flag.default is not None and not flag.boolean:
+        text += f' (default: {flag.default})'
+    indent = '      '
+    wrapped = fill(
+        text,
+        HELP_COLUMNS,
+        initial_indent=indent,
+        subsequent_indent=indent,
+    )
+    return [f'  --{shape}', wrapped]
+
+
+def is_own_flag(name: str) -> bool:
+    """Tells whether a flag is this project's, and not a library's."""
+    module = flags.FLAGS.find_module_defining_flag(name) or ''
+    return module.startswith(('cowslipmill', '__main__'))
 
 
 def fail(reason: str) -> NoReturn:
