Find every request that loses its mark, and keep teams apart

A team could take another team's requests with a narrower route of its own; that asked for a confirmation only and is refused now.

Dangers were found by one request from each pattern, which misses crossing patterns such as /a/{x} beside /{x}/b. Each pair of patterns that a change touches gives its common request now.

--- a/cowslipmill/console/proposal.py
+++ b/cowslipmill/console/proposal.py
@@ -1,6 +1,7 @@
 """A checked next version of the document, with what it changes."""
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -16,6 +17,7 @@
 from cowslipmill.document.danger import Danger
 from cowslipmill.document.danger import describe_danger
 from cowslipmill.document.danger import find_dangers
+from cowslipmill.document.danger import RouteTaken
 from cowslipmill.document.difference import compare_documents
 from cowslipmill.document.difference import Difference
 from cowslipmill.document.digest import document_digest
@@ -88,6 +90,7 @@
     if not difference.changes and not difference.settings:
         raise InvalidDocument((Problem('$', 'nothing would change'),))
     dangers = find_dangers(base, document, server_counts)
+    refuse_taking(operator, dangers)
     return Proposal(
         document=document,
         raw=raw,
@@ -97,6 +100,24 @@
     )
 
 
+def refuse_taking(operator: Operator, dangers: Iterable[Danger]) -> None:
+    """Refuses a team's route that takes another team's requests.
+
+    Raises:
+        InvalidDocument: With each such route.
+    """
+    problems = tuple(
+        Problem(
+            f'$.routes[{danger.after}]',
+            f'takes requests of route {danger.before!r} of another team',
+        )
+        for danger in dangers
+        if isinstance(danger, RouteTaken) and danger.team == operator.team
+    )
+    if problems:
+        raise InvalidDocument(problems)
+
+
 def make_notice(danger: Danger) -> Notice:
     """Returns the notice of a danger; its key holds for just this danger."""
     key = xxh3_64_hexdigest(repr(danger).encode())
--- a/cowslipmill/console/tests/test_access.py
+++ b/cowslipmill/console/tests/test_access.py
@@ -108,6 +108,13 @@
             browser.headers['X-Content-Type-Options'], Equals('nosniff')
         )
         assert_that(browser.headers['Referrer-Policy'], Equals('no-referrer'))
+    stranger = await world.visit()
+    answer = await stranger.client.get('/', allow_redirects=False)
+    assert_that(answer.status, Equals(303))
+    assert_that(
+        answer.headers['Content-Security-Policy'],
+        Contains("default-src 'none'"),
+    )
 
 
 @pytest.mark.asyncio
--- a/cowslipmill/console/tests/test_api.py
+++ b/cowslipmill/console/tests/test_api.py
@@ -190,6 +190,21 @@
         assert_that(answer.status, Equals(422))
 
 
+@pytest.mark.asyncio
+async def test_a_team_may_not_take_anothers_requests(world: World) -> None:
+    """A narrower route in its own section is refused, not just confirmed."""
+    caller = Caller(world, TEAM_TOKEN)
+    document, tag = await caller.read()
+    narrower = find_route(document, 'list-exams') | {
+        'name': 'all-standings',
+        'path': '/technicians/1/standing',
+    }
+    document['routes'].append(narrower)
+    answer = await caller.call('POST', 'proposals', document, If_Match=tag)
+    assert_that(answer.status, Equals(422))
+    assert_that(await answer.text(), Contains("'check-standing' of another"))
+
+
 @pytest.mark.asyncio
 async def test_a_difference_accepts_nothing(world: World) -> None:
     """It needs no If-Match and returns no document."""
--- a/cowslipmill/document/danger.py
+++ b/cowslipmill/document/danger.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import singledispatch
 
 from cowslipmill.document.document import Document
 from cowslipmill.document.document import Route
+from cowslipmill.document.overlap import find_common_requests
+from cowslipmill.document.overlap import Sample
 from cowslipmill.routing.table import RouteTable
 
-SAMPLE_SEGMENT = 'sample'
-SAMPLE_HOST = 'sample.invalid'
-
 
 @dataclass(frozen=True, slots=True)
 class MarkRemoved:
@@ -138,19 +138,30 @@
 
 
 def find_route_dangers(before: Document, after: Document) -> Iterator[Danger]:
-    """Yields dangers of requests that will match another route.
-
-    Requests are sampled from the patterns of both documents, so that a
-    narrower new route is seen as well as a changed old one.
-    """
+    """Yields dangers of requests that will match another route."""
     old = RouteTable(before.routes)
     new = RouteTable(after.routes)
-    for sample in (*before.routes, *after.routes):
-        for method in sample.methods:
-            request = (sample_host(sample), method, sample_path(sample))
-            was = old.find(*request)
-            if was is not None:
-                yield from compare_routes(was, new.find(*request))
+    for sample in find_samples(before.routes, after.routes):
+        was = old.find(*sample)
+        if was is not None:
+            yield from compare_routes(was, new.find(*sample))
+
+
+def find_samples(
+    before: Sequence[Route], after: Sequence[Route]
+) -> Iterator[Sample]:
+    """Yields a request for each pair of patterns that a change touches.
+
+    A new route that is narrower than an old one, or crosses it, takes
+    requests from it although the old one stays as it was.
+    """
+    kept = set(before) & set(after)
+    for changed, others in ((after, before), (before, after)):
+        for route in changed:
+            if route not in kept:
+                yield from find_common_requests(route, route)
+                for other in others:
+                    yield from find_common_requests(route, other)
 
 
 def compare_routes(was: Route, now: Route | None) -> Iterator[Danger]:
@@ -164,22 +175,6 @@
         yield RouteTaken(was.name, now.name, now.team)
 
 
-def sample_host(route: Route) -> str:
-    """Returns a host that the route matches."""
-    return SAMPLE_HOST if route.host == '*' else route.host
-
-
-def sample_path(route: Route) -> str:
-    """Returns a path that the route matches."""
-    segments = [
-        SAMPLE_SEGMENT
-        if segment.startswith('{') or segment == '*'
-        else segment
-        for segment in route.path.split('/')
-    ]
-    return '/'.join(segments)
-
-
 def find_deadline_cuts(before: Document, after: Document) -> Iterator[Danger]:
     """Yields a danger for each route with a shorter deadline."""
     deadlines = {route.name: route.deadline_ms for route in before.routes}
--- a/cowslipmill/document/tests/test_difference.py
+++ b/cowslipmill/document/tests/test_difference.py
@@ -1,8 +1,11 @@
 """Tests of differences, dangers and team sections."""
 
+from itertools import permutations
+from itertools import product
 from typing import Any
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 from msgspec import json
 from msgspec.structs import replace
@@ -31,6 +34,7 @@
 from cowslipmill.document.rebase import drop_conflicts
 from cowslipmill.document.sections import merge_team_sections
 from cowslipmill.launch.layout import EXAMPLES
+from cowslipmill.routing.table import RouteTable
 
 CARONI = decode_document((EXAMPLES / 'caroni' / 'document.json').read_bytes())
 
@@ -225,3 +229,74 @@
     assert_that(
         dangers, Contains(RouteTaken('book-exam', 'book-first', 'standing'))
     )
+
+
+PATTERNS = ['/a', '/{x}', '/a/b', '/a/{x}', '/{x}/b', '/{x}/{x}', '/a/*']
+PATTERNS += ['/{x}/*', '/*', '/{x}/{x}/c', '/a/{x}/*']
+PATTERN_ROUTES = strategies.lists(
+    strategies.builds(
+        lambda path, idempotent, host: replace(
+            CARONI.routes[0],
+            name=f'r{PATTERNS.index(path)}-{len(host)}-{idempotent:d}',
+            path=path,
+            idempotent=idempotent,
+            host=host,
+        ),
+        strategies.sampled_from(PATTERNS),
+        strategies.booleans(),
+        strategies.sampled_from(['*', '*', 'host']),
+    ),
+    min_size=1,
+    max_size=3,
+    unique_by=lambda route: (route.host, route.path),
+).map(tuple)
+REQUESTS = [
+    (host, 'GET', '/' + '/'.join(segments))
+    for host in ('host', 'other')
+    for length in (1, 2, 3)
+    for segments in product('abc', repeat=length)
+]
+
+
+def find_unseen(
+    before: tuple[Route, ...], after: tuple[Route, ...]
+) -> set[str]:
+    """Returns non-idempotent routes that lose requests without a danger."""
+    old, new = RouteTable(before), RouteTable(after)
+    lost = set()
+    for request in REQUESTS:
+        was, now = old.find(*request), new.find(*request)
+        if was and not was.idempotent and (now is None or now.idempotent):
+            lost.add(was.name)
+    dangers = find_dangers(
+        replace(CARONI, routes=before), replace(CARONI, routes=after), None
+    )
+    named = {
+        danger.before if isinstance(danger, MarkRemoved) else danger.route
+        for danger in dangers
+        if isinstance(danger, MarkRemoved | RouteRemoved)
+    }
+    return lost - named
+
+
+@settings(max_examples=300)
+@given(PATTERN_ROUTES, PATTERN_ROUTES, strategies.booleans())
+def test_no_request_loses_its_mark_unseen(
+    before: tuple[Route, ...], others: tuple[Route, ...], keep: bool
+) -> None:
+    """Whatever request becomes idempotent or lost, some danger says so."""
+    known = {(route.host, route.path) for route in before}
+    added = tuple(r for r in others if (r.host, r.path) not in known)
+    after = (*before, *added) if keep else others
+    assert_that(find_unseen(before, after), Equals(set()))
+
+
+def test_no_added_route_takes_a_mark_unseen() -> None:
+    """Each pattern is added beside each other one that it may cross."""
+    for old, new in permutations(PATTERNS, 2):
+        route = replace(
+            CARONI.routes[0], name='old', path=old, idempotent=False
+        )
+        added = replace(route, name='new', path=new, idempotent=True)
+        unseen = find_unseen((route,), (route, added))
+        assert_that(unseen, Equals(set()), f'{new} beside {old}')
