--- a/cowslipmill/document/danger.py
+++ b/cowslipmill/document/danger.py
@@ -8,6 +8,7 @@
 
 from cowslipmill.document.document import Document
 from cowslipmill.document.document import Route
+from cowslipmill.document.overlap import count_segments
 from cowslipmill.document.overlap import find_common_requests
 from cowslipmill.document.overlap import Sample
 from cowslipmill.routing.table import RouteTable
@@ -156,12 +157,13 @@
     requests from it although the old one stays as it was.
     """
     kept = set(before) & set(after)
+    depth = count_segments((*before, *after))
     for changed, others in ((after, before), (before, after)):
         for route in changed:
             if route not in kept:
-                yield from find_common_requests(route, route)
+                yield from find_common_requests(route, route, depth)
                 for other in others:
-                    yield from find_common_requests(route, other)
+                    yield from find_common_requests(route, other, depth)
 
 
 def compare_routes(was: Route, now: Route | None) -> Iterator[Danger]:
