--- a/cowslipmill/console/messages.py
+++ b/cowslipmill/console/messages.py
@@ -26,10 +26,10 @@
 
     Attributes:
         version: Its version.
-        digest: Digest of the bytes of `document` as they stand here.
+        digest: Digest of its content.
         difference: What it changes.
         confirmed: Dangers that were confirmed.
-        document: What to publish, byte for byte.
+        document: What to publish.
     """
 
     version: int
