Go on with a form after its session has ended

A form sent after the session's end went to the sign-in and everything typed was lost, since pages are not stored. The sign-in carries the form on now. Only a form with its CSRF token waits, and only for a path of the console.

--- a/cowslipmill/console/guard.py
+++ b/cowslipmill/console/guard.py
@@ -17,7 +17,9 @@
 from cowslipmill.console.messages import Faulty
 from cowslipmill.console.messages import ProblemDetails
 from cowslipmill.console.openapi import PREFIX
+from cowslipmill.console.signin import ask_again
 from cowslipmill.console.site import render
+from cowslipmill.console.site import SignInAgain
 from cowslipmill.console.source import NothingInForce
 from cowslipmill.document.problem import InvalidDocument
 from cowslipmill.outcomes.rendering import PROBLEM_TYPE
@@ -58,6 +60,8 @@
     """Turns each layer's errors into answers."""
     try:
         return await handler(request)
+    except SignInAgain as error:
+        return ask_again(request, error.form)
     except Exception as error:
         if isinstance(error, HTTPException) and error.status < 400:
             raise
--- a/cowslipmill/console/rollout.py
+++ b/cowslipmill/console/rollout.py
@@ -10,12 +10,10 @@
 from aiohttp.web import Request
 from aiohttp.web import Response
 
-from cowslipmill.console.site import CSRF_FIELD
 from cowslipmill.console.site import render
-from cowslipmill.console.site import require_csrf
-from cowslipmill.console.site import require_visitor
 from cowslipmill.console.site import SITE
 from cowslipmill.console.site import Site
+from cowslipmill.console.site import take_form
 from cowslipmill.console.source import Current
 from cowslipmill.console.source import NothingInForce
 from cowslipmill.status.collector import HostAnswer
@@ -52,10 +50,7 @@
 
 async def show_rollout(request: Request) -> Response:
     """Shows where each host stands with one version."""
-    operator = require_visitor(request)
-    form = await request.post()
-    if request.method == 'POST':
-        require_csrf(request, str(form.get(CSRF_FIELD, '')))
+    operator, form = await take_form(request)
     version, digest = read_target({**request.query, **form})
     site = request.app[SITE]
     answers = await site.source.read_hosts()
--- a/cowslipmill/console/signin.py
+++ b/cowslipmill/console/signin.py
@@ -1,5 +1,7 @@
 """Signing in with a token, and out."""
 
+import re
+
 from aiohttp.web import HTTPSeeOther
 from aiohttp.web import Request
 from aiohttp.web import Response
@@ -10,6 +12,7 @@
 from cowslipmill.console.operator import Session
 from cowslipmill.console.operator import SESSION_PURPOSE
 from cowslipmill.console.site import CSRF_FIELD
+from cowslipmill.console.site import Form
 from cowslipmill.console.site import make_csrf
 from cowslipmill.console.site import make_nonce
 from cowslipmill.console.site import render
@@ -18,14 +21,32 @@
 from cowslipmill.console.site import SITE
 from cowslipmill.console.site import VISIT_COOKIE
 
+KEPT_PREFIX = 'kept-'
+RESUMABLE = re.compile(r'^(/draft(/[a-z]+)?|/rollout)$')
+
+Kept = tuple[tuple[str, str], ...]
+
 
 async def show_sign_in(request: Request) -> Response:
     """Shows the sign-in form to a new visit."""
     return make_sign_in_page(request, '')
 
 
-def make_sign_in_page(request: Request, error: str) -> Response:
-    """Returns the form, bound to a fresh visit of this browser."""
+def make_sign_in_page(
+    request: Request,
+    error: str,
+    *,
+    resume: str = '',
+    kept: Kept = (),
+) -> Response:
+    """Returns the form, bound to a fresh visit of this browser.
+
+    Args:
+        request: The browser's request.
+        error: Why nobody is signed in, or ''.
+        resume: Path of a form that goes on after the sign-in, or ''.
+        kept: Fields of that form.
+    """
     visit = make_nonce()
     csrf = make_csrf(request, visit)
     status = 401 if error else 200
@@ -36,27 +57,63 @@
         csrf=csrf,
         operator=None,
         error=error,
+        resume=resume,
+        kept=kept,
     )
     page.del_cookie(SESSION_COOKIE)
     set_cookie(request, page, VISIT_COOKIE, visit)
     return page
 
 
+def ask_again(request: Request, form: Form) -> Response:
+    """Returns the sign-in that a form goes on after."""
+    kept = tuple(
+        (name, str(value))
+        for name, value in form.items()
+        if name != CSRF_FIELD
+    )
+    reason = 'Your session has ended. What you sent goes on afterwards.'
+    return make_sign_in_page(request, reason, resume=request.path, kept=kept)
+
+
+def read_kept(form: Form) -> Kept:
+    """Returns the fields of a form that waits for the sign-in."""
+    return tuple(
+        (name.removeprefix(KEPT_PREFIX), str(value))
+        for name, value in form.items()
+        if name.startswith(KEPT_PREFIX)
+    )
+
+
 async def sign_in(request: Request) -> Response:
-    """Takes a token and starts a session.
+    """Takes a token, starts a session, and shows a form that waits for it.
 
     Raises:
-        HTTPSeeOther: To the overview, if the token is known.
+        HTTPSeeOther: To the overview, if no form waits.
     """
     form = await request.post()
     require_csrf(request, str(form.get(CSRF_FIELD, '')))
     tokens = request.app[SITE].settings.tokens
     operator = find_operator(tokens, str(form.get('token', '')).strip())
+    resume, kept = str(form.get('resume', '')), read_kept(form)
     if operator is None:
-        return make_sign_in_page(request, 'This token is not known.')
-    answer = HTTPSeeOther('/')
-    set_cookie(request, answer, SESSION_COOKIE, seal(request, operator))
-    raise answer
+        error = 'This token is not known.'
+        return make_sign_in_page(request, error, resume=resume, kept=kept)
+    session = seal(request, operator)
+    if not RESUMABLE.match(resume):
+        answer = HTTPSeeOther('/')
+        set_cookie(request, answer, SESSION_COOKIE, session)
+        raise answer
+    page = render(
+        request,
+        'resume.html',
+        csrf=make_csrf(request, session),
+        operator=operator,
+        resume=resume,
+        kept=kept,
+    )
+    set_cookie(request, page, SESSION_COOKIE, session)
+    return page
 
 
 async def sign_out(request: Request) -> Response:
--- a/cowslipmill/console/site.py
+++ b/cowslipmill/console/site.py
@@ -13,6 +13,7 @@
 from jinja2 import Environment
 from jinja2 import PackageLoader
 from jinja2 import StrictUndefined
+from multidict import MultiDictProxy
 
 from cowslipmill.console.operator import open_session
 from cowslipmill.console.operator import Operator
@@ -26,6 +27,8 @@
 CSRF_PURPOSE = 'csrf'
 NONCE_BYTES = 16
 
+Form = MultiDictProxy[Any]
+
 
 @dataclass(frozen=True, slots=True)
 class Site:
@@ -63,6 +66,37 @@
     return open_session(site.signer, tokens, sealed, site.wall_clock())
 
 
+class SignInAgain(Exception):
+    """A form of a browser whose session has ended.
+
+    Attributes:
+        form: What was sent; it goes on after the sign-in.
+    """
+
+    def __init__(self, form: Form) -> None:
+        """Keeps the form."""
+        super().__init__('the session has ended')
+        self.form = form
+
+
+async def take_form(request: Request) -> tuple[Operator, Form]:
+    """Returns who is signed in and what was sent.
+
+    Raises:
+        HTTPForbidden: If the form is not from this console.
+        HTTPSeeOther: If nobody is signed in.
+        SignInAgain: The same for a form, which is not lost.
+    """
+    form = await request.post()
+    if request.method != 'POST':
+        return require_visitor(request), form
+    require_csrf(request, str(form.get(CSRF_FIELD, '')))
+    operator = find_visitor(request)
+    if operator is None:
+        raise SignInAgain(form)
+    return operator, form
+
+
 def require_visitor(request: Request) -> Operator:
     """Returns who is signed in, or sends the browser to the sign-in.
 
--- a/cowslipmill/console/tests/test_access.py
+++ b/cowslipmill/console/tests/test_access.py
@@ -83,6 +83,39 @@
     assert_that(stranger.heading(), Equals('Sign in'))
 
 
+@pytest.mark.asyncio
+async def test_a_form_goes_on_after_its_session_has_ended(
+    world: World,
+) -> None:
+    """What was typed survives the sign-in, also one that fails first."""
+    browser = await world.sign_in()
+    await browser.press('Edit route book-exam')
+    world.clock += 28_801
+    await browser.press('Take into the draft', {'deadline_ms': '7777'})
+    assert_that(browser.status, Equals(401))
+    assert_that(browser.text(), Contains('Your session has ended'))
+    await browser.press('Sign in', {'token': 'wrong'})
+    await browser.press('Sign in', {'token': ALL_TEAMS_TOKEN})
+    assert_that(browser.heading(), Equals('You are signed in again'))
+    await browser.press('Go on')
+    await browser.press('Review changes')
+    assert_that(browser.text(), Contains('deadline_ms 5000 7777'))
+
+
+@pytest.mark.asyncio
+async def test_a_forged_form_does_not_wait_for_a_sign_in(
+    world: World,
+) -> None:
+    """Only a form of this console goes on, and only to one of its forms."""
+    stranger = await world.visit()
+    await stranger.post('/draft/save', {'name': 'x', 'csrf': 'x'})
+    assert_that(stranger.status, Equals(403))
+    await stranger.open('/sign-in')
+    elsewhere = {'token': ALL_TEAMS_TOKEN, 'resume': '//elsewhere.example'}
+    await stranger.press('Sign in', elsewhere)
+    assert_that(stranger.heading(), Equals('Document in force'))
+
+
 @pytest.mark.asyncio
 async def test_signing_out_ends_the_session(world: World) -> None:
     """After it the browser must sign in again."""
--- a/cowslipmill/console/work.py
+++ b/cowslipmill/console/work.py
@@ -7,18 +7,16 @@
 from aiohttp.web import Request
 from aiohttp.web import Response
 from msgspec.structs import replace
-from multidict import MultiDictProxy
 
 from cowslipmill.console.draft import Draft
 from cowslipmill.console.draft import require_scope
 from cowslipmill.console.draft import seal_draft
 from cowslipmill.console.draft import unseal_draft
 from cowslipmill.console.operator import Operator
-from cowslipmill.console.site import CSRF_FIELD
+from cowslipmill.console.site import Form
 from cowslipmill.console.site import render
-from cowslipmill.console.site import require_csrf
-from cowslipmill.console.site import require_visitor
 from cowslipmill.console.site import SITE
+from cowslipmill.console.site import take_form
 from cowslipmill.console.source import Current
 from cowslipmill.document.difference import compare_documents
 from cowslipmill.document.document import Document
@@ -26,8 +24,6 @@
 from cowslipmill.document.rebase import Conflict
 from cowslipmill.document.rebase import keep_bases
 
-Form = MultiDictProxy[Any]
-
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -94,17 +90,15 @@
     """Reads a form and everything that it is about.
 
     Raises:
-        HTTPSeeOther: If nobody is signed in.
         HTTPForbidden: If the form is not from this console.
+        HTTPSeeOther: If nobody is signed in.
+        SignInAgain: The same for a form.
         NothingInForce: If there is no document to change.
         BadDraft: If the draft is not from a console.
         InvalidDocument: If the draft is beyond the operator's scope.
     """
     site = request.app[SITE]
-    operator = require_visitor(request)
-    form = await request.post()
-    if request.method == 'POST':
-        require_csrf(request, str(form.get(CSRF_FIELD, '')))
+    operator, form = await take_form(request)
     current = await site.source.read_current()
     text = str(form.get('draft', ''))
     draft = Draft.start(current)
