--- a/cowslipmill/standin/ledger.py
+++ b/cowslipmill/standin/ledger.py
@@ -12,6 +12,7 @@
     DONE = 'done'
     CANCELLED = 'cancelled'
     CRASHED = 'crashed'
+    FAILED = 'failed'
 
 
 class Execution(Struct, kw_only=True):
--- a/cowslipmill/standin/server.py
+++ b/cowslipmill/standin/server.py
@@ -121,6 +121,13 @@
         body = await request.read()
         behaviour = self.behaviour
         if behaviour.failing_fast:
+            execution = self.ledger.start(
+                request.headers.get(REQUEST_ID_HEADER, ''),
+                request.method,
+                request.path_qs,
+                time(),
+            )
+            execution.ending = Ending.FAILED
             return self.report(Response(status=500, text='failed\n'))
         if self.must_shed(request):
             return self.report(
