--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -21,6 +21,8 @@
 from cowslipmill.settings.settings import EntrySettings
 from cowslipmill.telemetry.admin import Admin
 
+REFRESH_INTERVAL_S = 0.02
+
 
 class Entry(Service):
     """Receives from callers, calls one backend server, answers.
@@ -47,6 +49,7 @@
             )
         )
         self.stopping = False
+        self.listener: Listener | None = None
 
     async def on_start(self) -> None:
         """Starts the parts, the caller's side last."""
@@ -80,11 +83,20 @@
 
     async def stop(self) -> None:
         """Fails readiness, waits for the balancer in front, then stops."""
-        if self.started and not self.stopping:
+        if self.listener is not None and not self.stopping:
             self.stopping = True
+            self.listener.stopping = True
             await sleep(self.settings.readiness_wait_ms / 1000)
+            await self.listener.drain(self.settings.stop_bound_ms / 1000)
         await super().stop()
 
+    @Service.task
+    async def refresh_rules(self) -> None:
+        """Refreshes stale services a few at a time, between requests."""
+        while not self.should_stop:
+            is_stale = self.rules.refresh_some()
+            await sleep(0 if is_stale else REFRESH_INTERVAL_S)
+
     def is_ready(self) -> bool:
         """Tells whether the entry wants new work."""
         return self.rules.document is not None and not self.stopping
