Add the core of membership: records that merge by a join

Cause: agents knew hosts only from the host list, which lags. Ruled out: a vote or quorum (a minority side must go on by itself), and a state that returns from gone within one revision (two sides of a partition would never agree). Change: one record for each host; only its own agent makes a new incarnation or revision, others move the state forward; a suspected host refutes by the next revision.

--- /dev/null
+++ b/cowslipmill/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The document in force: verdicts, deltas and watchers."""
--- /dev/null
+++ b/cowslipmill/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Facts about backend servers that leave."""
--- /dev/null
+++ b/cowslipmill/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Probing backend servers within their measuring budget."""
--- /dev/null
+++ b/cowslipmill/membership/tests/test_detector.py
@@ -0,0 +1,207 @@
+"""Tests of membership over a network that drops and reorders."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from msgspec.structs import replace
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cowslipmill.membership.detector import Detector
+from cowslipmill.membership.detector import LEAVING_S
+from cowslipmill.membership.detector import SUSPECT_S
+from cowslipmill.membership.record import HostRecord
+from cowslipmill.membership.record import HostState
+from cowslipmill.membership.replica import Aged
+
+HOST_COUNT = 3
+HOSTS = st.integers(0, HOST_COUNT - 1)
+
+
+def make_detector(index: int, incarnation: int, now: float) -> Detector:
+    """Returns the membership of a host that has just started."""
+    own = HostRecord(
+        f'host-{index}', f'127.0.0.{index + 1}:1', 'domain-a', incarnation
+    )
+    return Detector(own, now)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Hosts that exchange records through a shuffler.
+
+    A message is the sender's whole table; it may be lost, repeated, late,
+    or stopped by a partition.
+    """
+
+    def __init__(self) -> None:
+        """Starts all hosts, each knowing all."""
+        super().__init__()
+        self.now = 0.0
+        self.detectors = [
+            make_detector(index, 1, 0.0) for index in range(HOST_COUNT)
+        ]
+        for detector in self.detectors:
+            for other in self.detectors:
+                detector.merge(other.replica.all(0.0), 0.0)
+        self.sides = [0] * HOST_COUNT
+        self.paused: set[int] = set()
+        self.flying: list[tuple[int, int, tuple[Aged[HostRecord], ...]]] = []
+        self.furthest: dict[tuple[int, str], tuple[object, ...]] = {}
+
+    @rule(sender=HOSTS, receiver=HOSTS)
+    def send(self, sender: int, receiver: int) -> None:
+        """Puts a message on its way."""
+        if self.sides[sender] == self.sides[receiver]:
+            table = self.detectors[sender].replica.all(self.now)
+            self.flying.append((sender, receiver, table))
+
+    @rule(seed=st.integers(0, 2**16), keep=st.booleans())
+    def deliver(self, seed: int, keep: bool) -> None:
+        """Delivers some message, perhaps leaving a copy on its way."""
+        if not self.flying:
+            return
+        place = seed % len(self.flying)
+        sender, receiver, table = self.flying[place]
+        if not keep:
+            del self.flying[place]
+        if receiver not in self.paused:
+            self.detectors[receiver].merge(table, self.now)
+
+    @rule(sender=HOSTS, receiver=HOSTS)
+    def meet(self, sender: int, receiver: int) -> None:
+        """Delivers a message at once."""
+        if self.sides[sender] == self.sides[receiver]:
+            table = self.detectors[sender].replica.all(self.now)
+            self.detectors[receiver].merge(table, self.now)
+
+    @rule(seed=st.integers(0, 2**16))
+    def drop(self, seed: int) -> None:
+        """Loses some message."""
+        if self.flying:
+            del self.flying[seed % len(self.flying)]
+
+    @rule(observer=HOSTS, silent=HOSTS)
+    def miss_probe(self, observer: int, silent: int) -> None:
+        """A probe goes unanswered, rightly or not."""
+        records = self.detectors[observer].replica.records
+        record = records.get(f'host-{silent}')
+        if record is not None and observer != silent:
+            self.detectors[observer].take_silence(record, self.now)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, SUSPECT_S, LEAVING_S]))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes; hosts that are not paused notice."""
+        self.now += seconds
+        for index, detector in enumerate(self.detectors):
+            if index not in self.paused:
+                detector.tick(self.now)
+
+    @rule(cut=st.sets(HOSTS))
+    def partition(self, cut: set[int]) -> None:
+        """Cuts some hosts off."""
+        self.sides = [int(index in cut) for index in range(HOST_COUNT)]
+
+    @rule(index=HOSTS)
+    def pause_or_wake(self, index: int) -> None:
+        """Freezes a host, or wakes it."""
+        self.paused ^= {index}
+
+    @rule(index=HOSTS)
+    def restart(self, index: int) -> None:
+        """Starts a host anew with nothing kept, its clock a little back."""
+        incarnation = max(1, self.detectors[index].own.incarnation - 1)
+        self.detectors[index] = make_detector(index, incarnation, self.now)
+        for key in [key for key in self.furthest if key[0] == index]:
+            del self.furthest[key]
+
+    @invariant()
+    def records_only_move_forward(self) -> None:
+        """No host goes back on what it knew of another."""
+        for index, detector in enumerate(self.detectors):
+            for name, record in detector.replica.records.items():
+                before = self.furthest.get((index, name), ())
+                assert record.key >= before, (index, name)
+                self.furthest[index, name] = record.key
+
+    @invariant()
+    def nobody_believes_itself_lost(self) -> None:
+        """A host that hears a wrong word about itself supersedes it."""
+        for detector in self.detectors:
+            own = detector.replica.records[detector.own.name]
+            assert own == detector.own
+            assert own.state is HostState.LIVE
+
+    def teardown(self) -> None:
+        """Heals everything; all hosts then agree that all are live."""
+        self.flying.clear()
+        for _ in range(4):
+            for sender in self.detectors:
+                for receiver in self.detectors:
+                    table = sender.replica.all(self.now)
+                    receiver.merge(table, self.now)
+        first = self.detectors[0].replica
+        for detector in self.detectors:
+            replica = detector.replica
+            assert replica.records == first.records
+            assert replica.digests() == first.digests()
+        states = {record.state for record in first.records.values()}
+        assert states == {HostState.LIVE}
+
+
+FleetTest = Fleet.TestCase
+FleetTest.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+def test_silent_host_is_gone_after_its_time() -> None:
+    """A suspected host that does not refute is gone."""
+    one, other = make_detector(0, 1, 0.0), make_detector(1, 1, 0.0)
+    one.merge(other.replica.all(0.0), 0.0)
+    one.take_silence(other.own, 1.0)
+    one.tick(1.0)
+    for step in range(1, 5):
+        one.tick(1.0 + step)
+    state = one.replica.records['host-1'].state
+    assert_that(state, Equals(HostState.GONE))
+
+
+def test_late_wake_gives_suspects_their_time_again() -> None:
+    """A process that slept does not act on timers from before."""
+    one, other = make_detector(0, 1, 0.0), make_detector(1, 1, 0.0)
+    one.merge(other.replica.all(0.0), 0.0)
+    one.take_silence(other.own, 0.5)
+    one.tick(60.0)
+    state = one.replica.records['host-1'].state
+    assert_that(state, Equals(HostState.SUSPECT))
+
+
+def test_each_host_is_probed_once_a_round() -> None:
+    """No host waits longer than a round for its probe."""
+    one = make_detector(0, 1, 0.0)
+    for index in range(1, HOST_COUNT):
+        one.merge(make_detector(index, 1, 0.0).replica.all(0.0), 0.0)
+    random = Random(7)
+    probed = [one.next_probe(random) for _ in range(HOST_COUNT - 1)]
+    names = sorted(record.name for record in probed if record)
+    expected = [f'host-{index}' for index in range(1, HOST_COUNT)]
+    assert_that(names, Equals(expected))
+
+
+@pytest.mark.parametrize(('incarnation', 'revision'), [(9, 0), (4, 3)])
+def test_restarted_host_supersedes_its_former_self(
+    incarnation: int, revision: int
+) -> None:
+    """A restart counts even if the clock went back meanwhile."""
+    former = replace(
+        make_detector(0, incarnation, 0.0).own,
+        revision=revision,
+        state=HostState.GONE,
+    )
+    restarted = make_detector(0, 4, 0.0)
+    restarted.merge([Aged(former, 0)], 1.0)
+    assert_that(restarted.own.key > former.key, Equals(True))
+    assert_that(restarted.own.state, Equals(HostState.LIVE))
