Name documents by the digest of their canonical form everywhere

Cause: the console named a document by its bytes and the agents by its content, so that a rollout would never have been seen as in force. Change: document_digest works on the canonical form, which agents spread.

--- a/cowslipmill/configuration/configuration.py
+++ b/cowslipmill/configuration/configuration.py
@@ -2,19 +2,19 @@
 
 from collections.abc import Iterable
 
-from cowslipmill.configuration.canonical import canonicalize
-from cowslipmill.configuration.canonical import encode_canonical
-from cowslipmill.configuration.canonical import make_digest
-from cowslipmill.configuration.canonical import make_stamp
-from cowslipmill.configuration.canonical import NOTHING
-from cowslipmill.configuration.canonical import Stamp
 from cowslipmill.configuration.conflict import Conflict
 from cowslipmill.configuration.conflict import find_conflict
+from cowslipmill.configuration.stamp import make_stamp
+from cowslipmill.configuration.stamp import NOTHING
+from cowslipmill.configuration.stamp import Stamp
 from cowslipmill.configuration.verdict import Accepted
 from cowslipmill.configuration.verdict import NotNewer
 from cowslipmill.configuration.verdict import Refused
 from cowslipmill.configuration.verdict import Verdict
+from cowslipmill.document.canonical import canonicalize
+from cowslipmill.document.canonical import encode_canonical
 from cowslipmill.document.checker import decode_document
+from cowslipmill.document.digest import document_digest
 from cowslipmill.document.document import Document
 from cowslipmill.document.problem import InvalidDocument
 from cowslipmill.document.problem import Problem
@@ -52,7 +52,7 @@
         in_force_at: When it came into force, in monotonic seconds.
         history: Recent documents in force by stamp, for deltas.
         bases: Base of each recent valid document by stamp.
-        refused: Refused documents by the digest of their raw bytes.
+        refused: Refused documents by the digest of their content.
         conflicts: Documents that lost against another operator's.
     """
 
@@ -77,7 +77,7 @@
         self.in_force_at = 0.0
         self.history: dict[Stamp, Document] = {}
         self.bases: dict[Stamp, int] = {}
-        self.refused: dict[bytes, Refusal] = {}
+        self.refused: dict[str, Refusal] = {}
         self.conflicts: set[Conflict] = set()
 
     def offer(self, raw: bytes, now: float) -> Verdict:
@@ -113,7 +113,7 @@
 
     def refuse(self, raw: bytes, reason: str, now: float) -> Refused:
         """Notes a document that changes nothing."""
-        digest = make_digest(raw)
+        digest = document_digest(raw)
         self.refused.pop(digest, None)
         self.refused[digest] = Refusal(reason, now)
         while len(self.refused) > MAX_REFUSED:
--- a/cowslipmill/configuration/conflict.py
+++ b/cowslipmill/configuration/conflict.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from cowslipmill.configuration.canonical import Stamp
+from cowslipmill.configuration.stamp import Stamp
 
 
 class Conflict(Struct, frozen=True, array_like=True, order=True):
--- a/cowslipmill/configuration/delta.py
+++ b/cowslipmill/configuration/delta.py
@@ -6,10 +6,10 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from cowslipmill.configuration.canonical import canonicalize
-from cowslipmill.configuration.canonical import encode_canonical
-from cowslipmill.configuration.canonical import make_stamp
-from cowslipmill.configuration.canonical import Stamp
+from cowslipmill.configuration.stamp import make_stamp
+from cowslipmill.configuration.stamp import Stamp
+from cowslipmill.document.canonical import canonicalize
+from cowslipmill.document.canonical import encode_canonical
 from cowslipmill.document.document import Document
 from cowslipmill.document.document import Name
 from cowslipmill.document.document import Route
--- a/cowslipmill/configuration/tests/test_configuration.py
+++ b/cowslipmill/configuration/tests/test_configuration.py
@@ -14,9 +14,9 @@
 from testtools.matchers import HasLength
 from testtools.matchers import IsInstance
 
-from cowslipmill.configuration.canonical import NOTHING
-from cowslipmill.configuration.canonical import Stamp
 from cowslipmill.configuration.configuration import Configuration
+from cowslipmill.configuration.stamp import NOTHING
+from cowslipmill.configuration.stamp import Stamp
 from cowslipmill.configuration.verdict import Accepted
 from cowslipmill.configuration.verdict import NotNewer
 from cowslipmill.configuration.verdict import Refused
--- a/cowslipmill/configuration/tests/test_delta.py
+++ b/cowslipmill/configuration/tests/test_delta.py
@@ -7,13 +7,13 @@
 from testtools.matchers import Equals
 from testtools.matchers import Is
 
-from cowslipmill.configuration.canonical import canonicalize
-from cowslipmill.configuration.canonical import encode_canonical
-from cowslipmill.configuration.canonical import make_stamp
-from cowslipmill.configuration.canonical import Stamp
 from cowslipmill.configuration.delta import apply_delta
 from cowslipmill.configuration.delta import DocumentDelta
 from cowslipmill.configuration.delta import make_delta
+from cowslipmill.configuration.stamp import make_stamp
+from cowslipmill.configuration.stamp import Stamp
+from cowslipmill.document.canonical import canonicalize
+from cowslipmill.document.canonical import encode_canonical
 from cowslipmill.document.document import Document
 from cowslipmill.document.document import Service
 from cowslipmill.document.document import Team
--- a/cowslipmill/configuration/verdict.py
+++ b/cowslipmill/configuration/verdict.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from cowslipmill.configuration.canonical import Stamp
+from cowslipmill.configuration.stamp import Stamp
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowslipmill/document/digest.py
+++ b/cowslipmill/document/digest.py
@@ -1,8 +1,22 @@
-"""The digest that names the exact bytes of a document."""
+"""The digest that names the content of a document."""
 
+from msgspec import json
+from msgspec import MsgspecError
 from xxhash import xxh3_128_hexdigest
 
+from cowslipmill.document.canonical import canonicalize
+from cowslipmill.document.canonical import encode_canonical
+from cowslipmill.document.document import Document
+
 
 def document_digest(raw: bytes) -> str:
-    """Returns the digest of a published document's bytes."""
-    return xxh3_128_hexdigest(raw)
+    """Returns the digest of a published document's content.
+
+    The layout of the text and the order of its lists do not count. Text
+    that holds no document has the digest of its bytes.
+    """
+    try:
+        document = json.decode(raw, type=Document)
+    except (MsgspecError, UnicodeDecodeError):
+        return xxh3_128_hexdigest(raw)
+    return xxh3_128_hexdigest(encode_canonical(canonicalize(document)))
