Add facts about leaving servers and the messages between agents

Facts of the host list, of a server's own signal and of peers merge by the same join as hosts; a late signal of a former incarnation does not count.

--- /dev/null
+++ b/cowslipmill/agent/peermessages.py
@@ -0,0 +1,95 @@
+"""Messages between the agents of a deployment."""
+
+from typing import Annotated
+
+from msgspec import Meta
+from msgspec import Struct
+
+from cowslipmill.configuration.conflict import Conflict
+from cowslipmill.configuration.delta import DocumentDelta
+from cowslipmill.configuration.stamp import NOTHING
+from cowslipmill.configuration.stamp import Stamp
+from cowslipmill.configuration.watch import Contact
+from cowslipmill.document.document import MAX_DOCUMENT_BYTES
+from cowslipmill.hosts.fact import Address
+from cowslipmill.leaving.record import ServerRecord
+from cowslipmill.membership.record import HostRecord
+from cowslipmill.membership.replica import Aged
+
+MAX_AGENT_MESSAGE_BYTES = 2 * MAX_DOCUMENT_BYTES
+
+
+class News(Struct, frozen=True, tag='news', kw_only=True):
+    """Records that changed, and the sender's document."""
+
+    hosts: tuple[Aged[HostRecord], ...] = ()
+    servers: tuple[Aged[ServerRecord], ...] = ()
+    stamp: Stamp = NOTHING
+
+
+class Heartbeat(Struct, frozen=True, tag='heartbeat', kw_only=True):
+    """A probe of the receiver, with digests of what the sender knows.
+
+    Attributes:
+        sender: The sender's record.
+        receiver: The receiver's record as the sender has it, if it is not
+            live there.
+        hosts: Digests of the records of hosts.
+        servers: Digests of the records of servers.
+        stamp: The sender's document.
+        conflicts: The latest conflicts that it knows.
+        contact: A host that the platform answers.
+        joining: Whether the sender has just started.
+    """
+
+    sender: HostRecord
+    receiver: Aged[HostRecord] | None = None
+    hosts: bytes = b''
+    servers: bytes = b''
+    stamp: Stamp = NOTHING
+    conflicts: Annotated[tuple[Conflict, ...], Meta(max_length=8)] = ()
+    contact: Contact | None = None
+    joining: bool = False
+
+
+class HeartbeatReply(Struct, frozen=True, tag='heartbeat-reply', kw_only=True):
+    """The receiver's own digests, and records where they differ."""
+
+    heartbeat: Heartbeat
+    news: News
+
+
+class ProbeFor(Struct, frozen=True, tag='probe-for'):
+    """Asks the receiver to probe an agent that the sender cannot reach."""
+
+    address: Address
+
+
+class ProbeResult(Struct, frozen=True, tag='probe-result'):
+    """Whether an agent answered."""
+
+    answered: bool
+
+
+class FetchDocument(Struct, frozen=True, tag='fetch-document'):
+    """Asks for the document in force; `base` is the one that is known."""
+
+    base: Stamp
+
+
+class WholeDocument(Struct, frozen=True, tag='whole-document'):
+    """The canonical text of the document in force."""
+
+    raw: bytes
+
+
+AGENT_MESSAGES: tuple[type, ...] = (
+    News,
+    Heartbeat,
+    HeartbeatReply,
+    ProbeFor,
+    ProbeResult,
+    FetchDocument,
+    WholeDocument,
+    DocumentDelta,
+)
--- /dev/null
+++ b/cowslipmill/leaving/servers.py
@@ -0,0 +1,97 @@
+"""The backend servers, with who leaves, from every source."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+from msgspec.structs import replace
+
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.fact import Role
+from cowslipmill.hosts.fact import State
+from cowslipmill.leaving.record import ServerRecord
+from cowslipmill.membership.replica import Aged
+from cowslipmill.membership.replica import Replica
+
+GONE_MEMORY_S = 7200.0
+
+
+class Source(Enum):
+    """Where the state of a server came from."""
+
+    HOST_LIST = 'host list'
+    SERVER = 'server'
+    PEER = 'peer'
+
+
+class Servers:
+    """Facts about servers that only move forward within an incarnation.
+
+    A server that the host list leaves out stays as it was: the list lags,
+    so its absence proves nothing.
+
+    Attributes:
+        replica: Records of all servers.
+        sources: Where each record came from.
+    """
+
+    __slots__ = ('replica', 'sources')
+
+    def __init__(self) -> None:
+        """Starts without servers."""
+        self.replica: Replica[ServerRecord] = Replica(memory_s=GONE_MEMORY_S)
+        self.sources: dict[str, Source] = {}
+
+    def take_host_list(
+        self, facts: Iterable[Fact], now: float
+    ) -> list[ServerRecord]:
+        """Takes in the host list and returns what is news."""
+        records = (
+            Aged(ServerRecord.from_fact(fact), 0)
+            for fact in facts
+            if fact.role is Role.BACKEND_SERVER and fact.service
+        )
+        return self.merge(records, Source.HOST_LIST, now)
+
+    def take_peer(
+        self, records: Iterable[Aged[ServerRecord]], now: float
+    ) -> list[ServerRecord]:
+        """Takes in what a peer tells and returns what is news."""
+        return self.merge(records, Source.PEER, now)
+
+    def take_signal(
+        self, name: str, incarnation: int, now: float
+    ) -> list[ServerRecord]:
+        """Takes in that a server said with an answer that it is leaving.
+
+        Args:
+            name: Name of the server.
+            incarnation: The incarnation that the request was sent to; the
+                signal says nothing about a later one.
+            now: Monotonic seconds.
+
+        Returns:
+            What is news.
+        """
+        known = self.replica.records.get(name)
+        if known is None or known.incarnation != incarnation:
+            return []
+        leaving = replace(known, state=max(State.LEAVING, known.state))
+        return self.merge([Aged(leaving, 0)], Source.SERVER, now)
+
+    def merge(
+        self,
+        records: Iterable[Aged[ServerRecord]],
+        source: Source,
+        now: float,
+    ) -> list[ServerRecord]:
+        """Takes in records and notes where they came from."""
+        news = self.replica.merge(records, now)
+        for record in news:
+            self.sources[record.name] = source
+        return news
+
+    def facts(self) -> tuple[Fact, ...]:
+        """Returns the facts that entries hear of."""
+        return tuple(
+            record.to_fact() for record in self.replica.records.values()
+        )
