--- a/cowslipmill/agent/agent.py
+++ b/cowslipmill/agent/agent.py
@@ -1,58 +1,106 @@
 """The agent of one host: what is in force, told to its entries."""
 
+from asyncio import get_running_loop
 from asyncio import Queue
 from functools import singledispatchmethod
 from logging import getLogger
 from random import Random
+from time import time_ns
 
 from mode import Service
 
+from cowslipmill.agent.entries import Entries
 from cowslipmill.agent.feed import Feed
+from cowslipmill.agent.fleet import Fleet
 from cowslipmill.agent.messages import DocumentInForce
 from cowslipmill.agent.messages import Facts
-from cowslipmill.document.checker import decode_document
-from cowslipmill.document.problem import InvalidDocument
-from cowslipmill.hosts.view import View
+from cowslipmill.agent.messages import Members
+from cowslipmill.agent.messages import Observed
+from cowslipmill.agent.state import AgentState
+from cowslipmill.agent.statuspage import make_status
+from cowslipmill.agent.statuspage import SentRate
+from cowslipmill.agent.statuspage import StatusAdmin
+from cowslipmill.configuration.verdict import Accepted
+from cowslipmill.configuration.verdict import Refused
+from cowslipmill.leaving.record import ServerRecord
+from cowslipmill.measuring.prober import Prober
+from cowslipmill.membership.members import EntryBook
 from cowslipmill.platform.hostlist import HostList
 from cowslipmill.platform.watcher import PlatformDown
 from cowslipmill.platform.watcher import Published
+from cowslipmill.platform.watcher import Reached
 from cowslipmill.platform.watcher import Report
 from cowslipmill.platform.watcher import Watcher
 from cowslipmill.settings.settings import AgentSettings
 
 LOG = getLogger(__name__)
 
+TICK_S = 0.25
+TICKS_PER_MEMBERS = 8
+SERVERS_GRACE_S = 1.0
+DEFAULT_MEMORY_MS = 600_000
+
 
 class Agent(Service):
-    """Takes in what the platform publishes and feeds the entries.
+    """Acts with the other agents and feeds the entries of its host.
 
     Attributes:
         settings: Settings of this process.
-        view: Facts about hosts and servers.
-        version: Version of the document in force; 0 for none.
+        state: What this agent knows.
+        platform_up: Whether the platform answered last; None before.
     """
 
     def __init__(self, settings: AgentSettings, random: Random) -> None:
         """Makes the parts; nothing starts yet."""
         super().__init__()
         self.settings = settings
-        self.view = View()
-        self.version = 0
-        self.platform_down = False
+        self.clock = get_running_loop().time
+        now = self.clock()
+        self.started_at = now
+        self.state = AgentState(settings, time_ns() // 1_000_000, now)
+        self.book = EntryBook()
+        self.entries = Entries()
+        self.platform_up: bool | None = None
+        self.told_entries = False
         self.reports: Queue[Report] = Queue()
+        self.sent_rate = SentRate(now)
         self.watcher = Watcher(settings.platform, self.reports, random)
-        self.feed = Feed(settings.feed_listen)
+        self.feed = Feed(
+            settings.feed_listen, self.take_entries, self.take_observed
+        )
+        self.fleet = Fleet(
+            settings, self.state, random, self.tell_servers, self.tell_document
+        )
+        self.prober = Prober(self.state, self.take_observed)
+        self.admin = StatusAdmin(
+            settings.admin_listen, self.is_ready, self.make_status
+        )
 
     async def on_start(self) -> None:
-        """Starts the watch and the feed."""
+        """Starts the parts."""
+        await self.add_runtime_dependency(self.admin)
         await self.add_runtime_dependency(self.feed)
+        await self.add_runtime_dependency(self.fleet)
         await self.add_runtime_dependency(self.watcher)
+        await self.add_runtime_dependency(self.prober)
+
+    async def stop(self) -> None:
+        """Tells the peers, then stops."""
+        if self.fleet.joined.is_set():
+            self.prober.leaving = True
+            await self.fleet.leave()
+        await super().stop()
+
+    def is_ready(self) -> bool:
+        """Tells whether a document is in force here."""
+        return self.state.configuration.document is not None
 
     @Service.task
     async def take_reports(self) -> None:
         """Takes in one report after the other."""
         while not self.should_stop:
             self.take(await self.reports.get())
+            self.reports.task_done()
 
     @singledispatchmethod
     def take(self, report: Report) -> None:
@@ -62,33 +110,132 @@
     @take.register
     def take_published(self, report: Published) -> None:
         """Puts a newer document in force."""
-        self.platform_down = False
-        try:
-            document = decode_document(report.raw)
-        except InvalidDocument as error:
-            LOG.warning('document refused', extra={'reason': str(error)})
-            return
-        if document.version <= self.version:
-            return
-        self.version = document.version
-        self.watcher.version = document.version
-        message = DocumentInForce(version=document.version, raw=report.raw)
-        self.feed.publish(message, message)
-        LOG.info('document in force', extra={'version': self.version})
+        configuration = self.state.configuration
+        verdict = configuration.offer(report.raw, self.clock())
+        if isinstance(verdict, Refused):
+            LOG.warning('document refused', extra={'reason': verdict.reason})
+        if isinstance(verdict, Accepted):
+            self.state.outbox.add_document()
+            self.tell_document()
 
     @take.register
     def take_host_list(self, report: HostList) -> None:
         """Merges the host list into the view."""
-        self.platform_down = False
-        news = self.view.merge(report.hosts)
-        if not news:
-            return
-        whole = Facts(facts=tuple(self.view.facts.values()), age_ms=0)
-        self.feed.publish(whole, Facts(facts=tuple(news), age_ms=0))
+        news = self.state.take_host_list(report.hosts, self.clock())
+        if news:
+            self.tell_servers(news)
+
+    @take.register
+    def take_reached(self, report: Reached) -> None:
+        """Notes that the platform answers."""
+        if not self.platform_up:
+            LOG.info('platform up')
+        self.platform_up = True
+        self.state.plan.note_success(self.clock())
 
     @take.register
     def take_platform_down(self, report: PlatformDown) -> None:
         """Goes on with what is in force."""
-        if not self.platform_down:
+        if self.platform_up is not False:
             LOG.warning('platform down', extra={'reason': report.reason})
-        self.platform_down = True
+        self.platform_up = False
+
+    def take_observed(self, observed: Observed) -> None:
+        """Takes in what an entry of this host noticed."""
+        now = self.clock()
+        self.prober.take_answered(observed.answered, now)
+        news: list[ServerRecord] = []
+        for signal in observed.leaving:
+            news += self.state.servers.take_signal(
+                signal.name, signal.incarnation, now
+            )
+        if news:
+            self.state.outbox.add_servers(news)
+            self.tell_servers(news)
+
+    def take_entries(self) -> None:
+        """Tells the peers which entries this host has."""
+        now = self.clock()
+        self.entries.update(set(self.feed.entries), self.feed.leaving, now)
+        record = self.state.detector.set_entries(
+            self.entries.records(now), now
+        )
+        if record is not None:
+            self.state.outbox.add_hosts([record])
+
+    def tell_document(self) -> None:
+        """Tells the entries of the document in force.
+
+        The first document waits a little for servers, so that no entry
+        serves with routes alone.
+        """
+        configuration = self.state.configuration
+        stamp = configuration.stamp
+        self.watcher.version = stamp.version
+        LOG.info(
+            'document in force',
+            extra={'version': stamp.version, 'digest': stamp.digest.hex()},
+        )
+        if self.told_entries or self.state.servers.replica.records:
+            self.feed_document()
+
+    def feed_document(self) -> None:
+        """Sends the document in force to the entries."""
+        self.told_entries = True
+        configuration = self.state.configuration
+        message = DocumentInForce(
+            version=configuration.stamp.version,
+            raw=configuration.raw,
+            digest=configuration.stamp.digest,
+        )
+        self.feed.publish(message, message)
+
+    def tell_servers(self, news: list[ServerRecord]) -> None:
+        """Tells the entries of servers that are news."""
+        age_ms = self.view_age_ms()
+        whole = Facts(facts=self.state.servers.facts(), age_ms=age_ms)
+        facts = tuple(record.to_fact() for record in news)
+        self.feed.publish(whole, Facts(facts=facts, age_ms=age_ms))
+        if not self.told_entries and self.is_ready():
+            self.feed_document()
+
+    def view_age_ms(self) -> int:
+        """Returns how long ago another host was last heard."""
+        return int((self.clock() - self.state.detector.heard_at) * 1000)
+
+    @Service.task
+    async def keep_up(self) -> None:
+        """Chooses watchers and tells the entries of members."""
+        await self.fleet.joined.wait()
+        ticks = 0
+        while not self.should_stop:
+            now = self.clock()
+            self.take_entries()
+            self.watcher.watching = self.state.plan.should_watch(
+                self.state.domain_hosts(), now
+            )
+            self.sent_rate.update(now)
+            self.tell_members(now, is_due=ticks % TICKS_PER_MEMBERS == 0)
+            if not self.told_entries and self.is_ready():
+                if now - self.started_at > SERVERS_GRACE_S:
+                    self.feed_document()
+            ticks += 1
+            await self.sleep(TICK_S)
+
+    def tell_members(self, now: float, *, is_due: bool) -> None:
+        """Tells the entries of all entries, on change and regularly."""
+        document = self.state.configuration.document
+        memory_ms = DEFAULT_MEMORY_MS
+        if document is not None:
+            memory_ms = document.resend_memory_ms
+        hosts = self.state.detector.replica.records
+        changed = self.book.update(hosts, now, memory_ms / 1000)
+        if changed or is_due:
+            message = Members(
+                members=self.book.members(now), age_ms=self.view_age_ms()
+            )
+            self.feed.publish(message, message)
+
+    def make_status(self) -> bytes:
+        """Returns the status as JSON."""
+        return make_status(self)
--- a/cowslipmill/agent/feed.py
+++ b/cowslipmill/agent/feed.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import Queue
 from asyncio import QueueFull
+from collections.abc import Callable
 from logging import getLogger
 
 from mode import Service
@@ -10,10 +11,12 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
+from cowslipmill.agent.messages import EntryLeaving
 from cowslipmill.agent.messages import FEED_CODEC
 from cowslipmill.agent.messages import FeedMessage
 from cowslipmill.agent.messages import Hello
 from cowslipmill.agent.messages import MAX_FEED_BYTES
+from cowslipmill.agent.messages import Observed
 from cowslipmill.runtime.address import split_address
 from cowslipmill.runtime.program import CannotListen
 
@@ -28,12 +31,23 @@
     Attributes:
         latest: Messages that a new entry gets first, by their tag.
         entries: Queue of each connected entry.
+        leaving: Entries that take no new work any more.
+        on_entries: Called when an entry came, left or is leaving.
+        on_observed: Called with what an entry noticed.
     """
 
-    def __init__(self, address: str) -> None:
-        """Keeps the address to listen on."""
+    def __init__(
+        self,
+        address: str,
+        on_entries: Callable[[], None],
+        on_observed: Callable[[Observed], None],
+    ) -> None:
+        """Keeps the address to listen on and whom to tell."""
         super().__init__()
         self.address = address
+        self.on_entries = on_entries
+        self.on_observed = on_observed
+        self.leaving: set[Hello] = set()
         self.latest: dict[type, FeedMessage] = {}
         self.entries: dict[Hello, Queue[FeedMessage]] = {}
 
@@ -81,14 +95,32 @@
             queue.put_nowait(message)
         self.entries[hello] = queue
         LOG.info('entry connected', extra={'entry': hello.entry})
+        self.on_entries()
         sender = create_task(self.send_news(connection, hello, queue))
         try:
-            await connection.wait_closed()
+            await self.receive(connection, hello)
+        except ConnectionClosed:
+            return
         finally:
             sender.cancel()
             LOG.info('entry disconnected', extra={'entry': hello.entry})
             if self.entries.get(hello) is queue:
                 del self.entries[hello]
+            self.on_entries()
+
+    async def receive(
+        self, connection: ServerConnection, hello: Hello
+    ) -> None:
+        """Takes in what an entry tells until it disconnects."""
+        async for raw in connection:
+            message = (
+                FEED_CODEC.decode(raw) if isinstance(raw, bytes) else None
+            )
+            if isinstance(message, Observed):
+                self.on_observed(message)
+            if isinstance(message, EntryLeaving):
+                self.leaving.add(hello)
+                self.on_entries()
 
     async def send_news(
         self,
--- a/cowslipmill/agent/messages.py
+++ b/cowslipmill/agent/messages.py
@@ -19,10 +19,14 @@
 
 
 class DocumentInForce(Struct, frozen=True, tag='document', kw_only=True):
-    """The raw document that the agent has checked."""
+    """The raw document that the agent has checked.
+
+    `digest` decides between two documents of one version.
+    """
 
     version: int
     raw: bytes
+    digest: bytes = b''
 
 
 class Facts(Struct, frozen=True, tag='facts', kw_only=True):
@@ -42,6 +46,31 @@
     age_ms: int
 
 
-FeedMessage = Hello | DocumentInForce | Facts | Members
+class ServerSignal(Struct, frozen=True, array_like=True):
+    """One incarnation of a server of which an entry reports."""
+
+    name: str
+    incarnation: int
+
+
+class Observed(Struct, frozen=True, tag='observed', kw_only=True):
+    """What an entry noticed since it last reported.
+
+    Attributes:
+        answered: Servers that answered requests.
+        leaving: Servers that said with an answer that they are leaving.
+    """
+
+    answered: tuple[ServerSignal, ...] = ()
+    leaving: tuple[ServerSignal, ...] = ()
+
+
+class EntryLeaving(Struct, frozen=True, tag='entry-leaving'):
+    """The entry takes no new work any more."""
+
+
+FeedMessage = (
+    Hello | DocumentInForce | Facts | Members | Observed | EntryLeaving
+)
 
 FEED_CODEC: Codec[FeedMessage] = Codec(FeedMessage, max_bytes=MAX_FEED_BYTES)
--- /dev/null
+++ b/cowslipmill/agent/statuspage.py
@@ -0,0 +1,172 @@
+"""Serves `GET /status` on the administration address of an agent."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from aiohttp.web import get
+from aiohttp.web import Request
+from aiohttp.web import Response
+from msgspec import json
+
+from cowslipmill.agent.state import AgentState
+from cowslipmill.agent.status import AgentStatus
+from cowslipmill.agent.status import ConflictStatus
+from cowslipmill.agent.status import MeasuringStatus
+from cowslipmill.agent.status import MemberStatus
+from cowslipmill.agent.status import PlatformStatus
+from cowslipmill.agent.status import RefusedDocument
+from cowslipmill.agent.status import ServerStatus
+from cowslipmill.measuring.prober import Prober
+from cowslipmill.peers.metrics import SENT_BYTES
+from cowslipmill.platform.watcher import Watcher
+from cowslipmill.telemetry.admin import Admin
+
+RATE_WINDOW_S = 10.0
+
+
+class StatusAdmin(Admin):
+    """An administration address that serves the status too."""
+
+    def __init__(
+        self,
+        address: str,
+        is_ready: Callable[[], bool],
+        make: Callable[[], bytes],
+    ) -> None:
+        """Keeps what makes the status."""
+        super().__init__(address, is_ready)
+        self.make = make
+        self.routes = [get('/status', self.answer_status)]
+
+    async def answer_status(self, request: Request) -> Response:
+        """Returns the status."""
+        return Response(body=self.make(), content_type='application/json')
+
+
+class SentRate:
+    """Bytes sent to peers per second over the last window.
+
+    Attributes:
+        since: Start of the window in monotonic seconds.
+        counted: Bytes sent before it.
+        per_second: Rate of the window before.
+    """
+
+    __slots__ = ('counted', 'per_second', 'since')
+
+    def __init__(self, now: float) -> None:
+        """Starts a window."""
+        self.since = now
+        self.counted = read_sent_bytes()
+        self.per_second = 0.0
+
+    def update(self, now: float) -> None:
+        """Ends the window if it is over."""
+        elapsed_s = now - self.since
+        if elapsed_s < RATE_WINDOW_S:
+            return
+        sent = read_sent_bytes()
+        self.per_second = (sent - self.counted) / elapsed_s
+        self.since, self.counted = now, sent
+
+
+def read_sent_bytes() -> float:
+    """Returns all bytes sent to peers since the start."""
+    (metric,) = SENT_BYTES.collect()
+    return float(metric.samples[0].value)
+
+
+class Reporting(Protocol):
+    """The parts of an agent that its status tells of."""
+
+    state: AgentState
+    watcher: Watcher
+    prober: Prober
+    sent_rate: SentRate
+    platform_up: bool | None
+    clock: Callable[[], float]
+
+    def view_age_ms(self) -> int:
+        """Returns how long ago another host was last heard."""
+
+
+def make_status(agent: Reporting) -> bytes:
+    """Returns the status of an agent as JSON."""
+    now = agent.clock()
+    own = agent.state.detector.own
+    configuration = agent.state.configuration
+    in_force_s = now - configuration.in_force_at
+    status = AgentStatus(
+        host=own.name,
+        failure_domain=own.failure_domain,
+        incarnation=own.incarnation,
+        version=configuration.stamp.version,
+        digest=configuration.stamp.digest.hex(),
+        in_force_ms=int(in_force_s * 1000) if configuration.raw else 0,
+        refused=tuple(
+            RefusedDocument(
+                digest=digest,
+                reason=refusal.reason,
+                age_ms=int((now - refusal.seen_at) * 1000),
+            )
+            for digest, refusal in configuration.refused.items()
+        ),
+        conflicts=tuple(
+            ConflictStatus(
+                version=conflict.lost.version,
+                digest=conflict.lost.digest.hex(),
+                lost_to_version=conflict.won.version,
+                lost_to_digest=conflict.won.digest.hex(),
+            )
+            for conflict in sorted(configuration.conflicts)
+        ),
+        members=list_members(agent.state, now),
+        servers=list_servers(agent.state, now),
+        platform=PlatformStatus(
+            watching=agent.watcher.watching,
+            up=agent.platform_up,
+            calls=agent.watcher.calls,
+        ),
+        measuring=MeasuringStatus(
+            servers=agent.prober.server_count,
+            probes=agent.prober.probes,
+            failures=agent.prober.failures,
+        ),
+        last_word_age_ms=agent.view_age_ms(),
+        bytes_sent_per_second=round(agent.sent_rate.per_second, 1),
+    )
+    return json.encode(status)
+
+
+def list_members(state: AgentState, now: float) -> tuple[MemberStatus, ...]:
+    """Returns the status of every host known."""
+    replica = state.detector.replica
+    return tuple(
+        MemberStatus(
+            name=record.name,
+            address=record.address,
+            failure_domain=record.failure_domain,
+            incarnation=record.incarnation,
+            state=record.state.name.lower(),
+            age_ms=replica.age(record, now).age_ms,
+            entries=tuple(entry.name for entry in record.entries),
+        )
+        for record in sorted(replica.records.values(), key=lambda r: r.name)
+    )
+
+
+def list_servers(state: AgentState, now: float) -> tuple[ServerStatus, ...]:
+    """Returns the status of every backend server known."""
+    replica = state.servers.replica
+    return tuple(
+        ServerStatus(
+            name=record.name,
+            service=record.service,
+            address=record.address,
+            incarnation=record.incarnation,
+            state=record.state.name.lower(),
+            age_ms=replica.age(record, now).age_ms,
+            source=state.servers.sources[record.name].value,
+        )
+        for record in sorted(replica.records.values(), key=lambda r: r.name)
+    )
--- a/cowslipmill/membership/members.py
+++ b/cowslipmill/membership/members.py
@@ -124,13 +124,14 @@
     *,
     replaced: bool,
 ) -> State:
-    """Returns the state of an entry as its host's record has it."""
+    """Returns the state of an entry as its host's record has it.
+
+    An agent that leaves says nothing about its entries, which outlive it.
+    """
     host = hosts.get(entry.host.name)
     if replaced or host is None or host.state is HostState.GONE:
         return State.GONE
     absent = entry.absent_since
     if absent is not None and now - absent > ABSENT_GRACE_S:
         return State.GONE
-    if host.state is HostState.LEAVING:
-        return max(State.LEAVING, entry.record.state)
     return entry.record.state
--- a/cowslipmill/platform/watcher.py
+++ b/cowslipmill/platform/watcher.py
@@ -14,6 +14,12 @@
 WATCH_MS = 10_000
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 5.0
+IDLE_PAUSE_S = 0.25
+AUDIT_EVERY = 3
+
+
+class Reached(Struct, frozen=True):
+    """A call to the platform succeeded."""
 
 
 class Published(Struct, frozen=True):
@@ -28,13 +34,17 @@
     reason: str
 
 
-Report = Published | HostList | PlatformDown
+Report = Published | HostList | PlatformDown | Reached
 
 
 class Watcher(Service):
-    """Keeps one watch on each of the platform's values.
+    """Keeps one watch on each of the platform's values while it is asked to.
+
+    Every third call reads without waiting, so that a second document of the
+    version in force is noticed too.
 
     Attributes:
+        watching: Whether to call the platform; set by the owner.
         reports: Where what was read goes.
         version: Highest document version seen, set by the owner.
         revision: Highest host list revision seen.
@@ -50,49 +60,85 @@
         self.random = random
         self.version = 0
         self.revision = 0
+        self.watching = False
+        self.client: PlatformClient | None = None
 
     async def on_start(self) -> None:
         """Opens the session."""
         session = await self.add_async_context(ClientSession())
         self.client = PlatformClient(self.base_url, session)
 
+    @property
+    def calls(self) -> int:
+        """Calls made since the start."""
+        return self.client.calls if self.client is not None else 0
+
     @Service.task
     async def watch_configuration(self) -> None:
         """Reads each newer document."""
         failures = 0
+        turn = 0
         while not self.should_stop:
-            value = await self.client.read_configuration(
-                after=self.version, wait_ms=WATCH_MS
+            client = self.client
+            if client is None or not self.watching:
+                await self.sleep(IDLE_PAUSE_S)
+                continue
+            turn += 1
+            is_audit = turn % AUDIT_EVERY == 0
+            value = await client.read_configuration(
+                after=max(0, self.version - 1) if is_audit else self.version,
+                wait_ms=0 if is_audit else WATCH_MS,
             )
-            failures = await self.pause_after(value, failures)
+            before = self.version
             if isinstance(value, bytes):
                 await self.reports.put(Published(value))
+                await self.reports.join()
+            stale = isinstance(value, bytes) and self.version == before
+            failures = await self.pause_after(value, failures, stale=stale)
 
     @Service.task
     async def watch_hosts(self) -> None:
         """Reads each newer host list."""
         failures = 0
         while not self.should_stop:
-            value = await self.client.read_hosts(
+            client = self.client
+            if client is None or not self.watching:
+                await self.sleep(IDLE_PAUSE_S)
+                continue
+            value = await client.read_hosts(
                 after=self.revision, wait_ms=WATCH_MS
             )
-            failures = await self.pause_after(value, failures)
+            stale = False
             if isinstance(value, HostList):
-                self.revision = value.revision
+                stale = value.revision <= self.revision
+                self.revision = max(self.revision, value.revision)
                 await self.reports.put(value)
+            failures = await self.pause_after(value, failures, stale=stale)
 
     async def pause_after(
-        self, value: bytes | HostList | None | Unavailable, failures: int
+        self,
+        value: bytes | HostList | None | Unavailable,
+        failures: int,
+        *,
+        stale: bool,
     ) -> int:
-        """Waits longer with each failure, with jitter.
+        """Waits longer with each call that brought nothing new, with jitter.
+
+        Args:
+            value: What the call gave; None came after a whole wait.
+            failures: Failures in a row before it.
+            stale: Whether the value was not newer, or was refused.
 
         Returns:
             Failures in a row.
         """
-        if not isinstance(value, Unavailable):
+        if isinstance(value, Unavailable):
+            await self.reports.put(PlatformDown(value.reason))
+        else:
+            await self.reports.put(Reached())
+        if not (stale or isinstance(value, Unavailable)):
             await self.sleep(MIN_PAUSE_S)
             return 0
-        await self.reports.put(PlatformDown(value.reason))
         bound = min(MIN_PAUSE_S * 2**failures, MAX_PAUSE_S)
         await self.sleep(self.random.uniform(MIN_PAUSE_S, bound + MIN_PAUSE_S))
         return failures + 1
--- a/cowslipmill/telemetry/admin.py
+++ b/cowslipmill/telemetry/admin.py
@@ -7,6 +7,7 @@
 from aiohttp.web import get
 from aiohttp.web import Request
 from aiohttp.web import Response
+from aiohttp.web import RouteDef
 from aiohttp.web import TCPSite
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
@@ -17,13 +18,18 @@
 
 
 class Admin(Service):
-    """Serves `/livez`, `/readyz` and `/metrics`."""
+    """Serves `/livez`, `/readyz`, `/metrics` and what a subclass adds.
+
+    Attributes:
+        routes: What a subclass serves besides.
+    """
 
     def __init__(self, address: str, is_ready: Callable[[], bool]) -> None:
         """Keeps the address and the question whether work is welcome."""
         super().__init__()
         self.address = address
         self.is_ready = is_ready
+        self.routes: list[RouteDef] = []
 
     async def on_start(self) -> None:
         """Listens.
@@ -37,6 +43,7 @@
                 get('/livez', self.answer_livez),
                 get('/readyz', self.answer_readyz),
                 get('/metrics', self.answer_metrics),
+                *self.routes,
             ]
         )
         self.runner = AppRunner(app, access_log=None)
