--- a/cowslipmill/agent/agent.py
+++ b/cowslipmill/agent/agent.py
@@ -46,7 +46,7 @@
 
     Attributes:
         settings: Settings of this process.
-        state: What this agent knows.
+        known: What this agent knows.
         platform_up: Whether the platform answered last; None before.
     """
 
@@ -57,7 +57,7 @@
         self.clock = get_running_loop().time
         now = self.clock()
         self.started_at = now
-        self.state = AgentState(settings, time_ns() // 1_000_000, now)
+        self.known = AgentState(settings, time_ns() // 1_000_000, now)
         self.book = EntryBook()
         self.entries = Entries()
         self.platform_up: bool | None = None
@@ -69,9 +69,9 @@
             settings.feed_listen, self.take_entries, self.take_observed
         )
         self.fleet = Fleet(
-            settings, self.state, random, self.tell_servers, self.tell_document
+            settings, self.known, random, self.tell_servers, self.tell_document
         )
-        self.prober = Prober(self.state, self.take_observed)
+        self.prober = Prober(self.known, self.take_observed)
         self.admin = StatusAdmin(
             settings.admin_listen, self.is_ready, self.make_status
         )
@@ -93,7 +93,7 @@
 
     def is_ready(self) -> bool:
         """Tells whether a document is in force here."""
-        return self.state.configuration.document is not None
+        return self.known.configuration.document is not None
 
     @Service.task
     async def take_reports(self) -> None:
@@ -110,18 +110,18 @@
     @take.register
     def take_published(self, report: Published) -> None:
         """Puts a newer document in force."""
-        configuration = self.state.configuration
+        configuration = self.known.configuration
         verdict = configuration.offer(report.raw, self.clock())
         if isinstance(verdict, Refused):
             LOG.warning('document refused', extra={'reason': verdict.reason})
         if isinstance(verdict, Accepted):
-            self.state.outbox.add_document()
+            self.known.outbox.add_document()
             self.tell_document()
 
     @take.register
     def take_host_list(self, report: HostList) -> None:
         """Merges the host list into the view."""
-        news = self.state.take_host_list(report.hosts, self.clock())
+        news = self.known.take_host_list(report.hosts, self.clock())
         if news:
             self.tell_servers(news)
 
@@ -131,7 +131,7 @@
         if not self.platform_up:
             LOG.info('platform up')
         self.platform_up = True
-        self.state.plan.note_success(self.clock())
+        self.known.plan.note_success(self.clock())
 
     @take.register
     def take_platform_down(self, report: PlatformDown) -> None:
@@ -146,22 +146,22 @@
         self.prober.take_answered(observed.answered, now)
         news: list[ServerRecord] = []
         for signal in observed.leaving:
-            news += self.state.servers.take_signal(
+            news += self.known.servers.take_signal(
                 signal.name, signal.incarnation, now
             )
         if news:
-            self.state.outbox.add_servers(news)
+            self.known.outbox.add_servers(news)
             self.tell_servers(news)
 
     def take_entries(self) -> None:
         """Tells the peers which entries this host has."""
         now = self.clock()
         self.entries.update(set(self.feed.entries), self.feed.leaving, now)
-        record = self.state.detector.set_entries(
+        record = self.known.detector.set_entries(
             self.entries.records(now), now
         )
         if record is not None:
-            self.state.outbox.add_hosts([record])
+            self.known.outbox.add_hosts([record])
 
     def tell_document(self) -> None:
         """Tells the entries of the document in force.
@@ -169,20 +169,20 @@
         The first document waits a little for servers, so that no entry
         serves with routes alone.
         """
-        configuration = self.state.configuration
+        configuration = self.known.configuration
         stamp = configuration.stamp
         self.watcher.version = stamp.version
         LOG.info(
             'document in force',
             extra={'version': stamp.version, 'digest': stamp.digest.hex()},
         )
-        if self.told_entries or self.state.servers.replica.records:
+        if self.told_entries or self.known.servers.replica.records:
             self.feed_document()
 
     def feed_document(self) -> None:
         """Sends the document in force to the entries."""
         self.told_entries = True
-        configuration = self.state.configuration
+        configuration = self.known.configuration
         message = DocumentInForce(
             version=configuration.stamp.version,
             raw=configuration.raw,
@@ -193,7 +193,7 @@
     def tell_servers(self, news: list[ServerRecord]) -> None:
         """Tells the entries of servers that are news."""
         age_ms = self.view_age_ms()
-        whole = Facts(facts=self.state.servers.facts(), age_ms=age_ms)
+        whole = Facts(facts=self.known.servers.facts(), age_ms=age_ms)
         facts = tuple(record.to_fact() for record in news)
         self.feed.publish(whole, Facts(facts=facts, age_ms=age_ms))
         if not self.told_entries and self.is_ready():
@@ -201,7 +201,7 @@
 
     def view_age_ms(self) -> int:
         """Returns how long ago another host was last heard."""
-        return int((self.clock() - self.state.detector.heard_at) * 1000)
+        return int((self.clock() - self.known.detector.heard_at) * 1000)
 
     @Service.task
     async def keep_up(self) -> None:
@@ -211,8 +211,8 @@
         while not self.should_stop:
             now = self.clock()
             self.take_entries()
-            self.watcher.watching = self.state.plan.should_watch(
-                self.state.domain_hosts(), now
+            self.watcher.watching = self.known.plan.should_watch(
+                self.known.domain_hosts(), now
             )
             self.sent_rate.update(now)
             self.tell_members(now, is_due=ticks % TICKS_PER_MEMBERS == 0)
@@ -224,11 +224,11 @@
 
     def tell_members(self, now: float, *, is_due: bool) -> None:
         """Tells the entries of all entries, on change and regularly."""
-        document = self.state.configuration.document
+        document = self.known.configuration.document
         memory_ms = DEFAULT_MEMORY_MS
         if document is not None:
             memory_ms = document.resend_memory_ms
-        hosts = self.state.detector.replica.records
+        hosts = self.known.detector.replica.records
         changed = self.book.update(hosts, now, memory_ms / 1000)
         if changed or is_due:
             message = Members(
--- a/cowslipmill/agent/fetcher.py
+++ b/cowslipmill/agent/fetcher.py
@@ -30,7 +30,7 @@
     """One fetch at a time, of the greatest document offered.
 
     Attributes:
-        state: What this agent knows.
+        known: What this agent knows.
         sources: Addresses that have each document offered.
         wants_whole: Whether the last delta did not fit.
         idle: Set while there is nothing to fetch.
@@ -44,7 +44,7 @@
     ) -> None:
         """Starts with nothing offered."""
         super().__init__()
-        self.state = state
+        self.known = state
         self.links = links
         self.on_document = on_document
         self.sources: dict[Stamp, list[str]] = {}
@@ -55,7 +55,7 @@
 
     def offer(self, stamp: Stamp, address: str) -> None:
         """Notes that a peer has a document."""
-        if stamp <= self.state.configuration.stamp:
+        if stamp <= self.known.configuration.stamp:
             return
         sources = self.sources.setdefault(stamp, [])
         if address not in sources and len(sources) < MAX_SOURCES:
@@ -83,14 +83,14 @@
                 continue
             stamp = max(self.sources)
             address = self.pop_source(stamp)
-            known = self.state.configuration.stamp
+            known = self.known.configuration.stamp
             request = FetchDocument(NOTHING if self.wants_whole else known)
             reply = await self.links.call(address, request, FETCH_TIMEOUT_S)
             self.take(reply, stamp, address)
 
     def drop_known(self) -> None:
         """Forgets offers that are not newer than what is in force."""
-        known = self.state.configuration.stamp
+        known = self.known.configuration.stamp
         self.sources = {
             stamp: addresses
             for stamp, addresses in self.sources.items()
@@ -99,10 +99,10 @@
 
     def pop_source(self, stamp: Stamp) -> str:
         """Returns the nearest address that has a document."""
-        own = self.state.detector.own.failure_domain
+        own = self.known.detector.own.failure_domain
         near = {
             record.address
-            for record in self.state.detector.others()
+            for record in self.known.detector.others()
             if record.failure_domain == own
         }
         sources = self.sources[stamp]
@@ -112,7 +112,7 @@
 
     def take(self, reply: Any, stamp: Stamp, address: str) -> None:
         """Puts a fetched document in force."""
-        configuration = self.state.configuration
+        configuration = self.known.configuration
         now = get_running_loop().time()
         raw = b''
         if isinstance(reply, WholeDocument):
@@ -126,5 +126,5 @@
                 LOG.warning('delta refused', extra={'peer': address})
             raw = encode_canonical(document) if document else b''
         if raw and isinstance(configuration.offer(raw, now), Accepted):
-            self.state.outbox.add_document()
+            self.known.outbox.add_document()
             self.on_document()
--- a/cowslipmill/agent/fleet.py
+++ b/cowslipmill/agent/fleet.py
@@ -46,7 +46,7 @@
     """Heartbeats, news and documents between agents.
 
     Attributes:
-        state: What this agent knows.
+        known: What this agent knows.
         joined: Set once peers were asked at the start.
         on_servers: Called with servers that are news.
     """
@@ -62,7 +62,7 @@
         """Makes server and links; nothing starts yet."""
         super().__init__()
         self.settings = settings
-        self.state = state
+        self.known = state
         self.random = random
         self.on_servers = on_servers
         self.joined = Event()
@@ -84,25 +84,25 @@
     async def handle(self, message: Any, peer: str) -> Any:
         """Takes in a peer's message and returns the reply."""
         now = self.clock()
-        self.state.detector.heard_at = now
+        self.known.detector.heard_at = now
         if isinstance(message, Heartbeat):
-            self.state.take_heartbeat(message, now)
+            self.known.take_heartbeat(message, now)
             self.fetcher.offer(message.stamp, message.sender.address)
-            return self.state.make_reply(message, now)
+            return self.known.make_reply(message, now)
         if isinstance(message, News):
             self.take_news(message, peer, now)
         if isinstance(message, FetchDocument):
-            return self.state.make_document_reply(message)
+            return self.known.make_document_reply(message)
         if isinstance(message, ProbeFor):
             return ProbeResult(await self.probe_address(message.address, ''))
         return None
 
     def take_news(self, news: News, peer: str, now: float) -> None:
         """Takes in records and tells this host's entries of them."""
-        servers = self.state.take_news(news, now)
+        servers = self.known.take_news(news, now)
         if servers:
             self.on_servers(servers)
-        sender = self.state.detector.replica.records.get(peer)
+        sender = self.known.detector.replica.records.get(peer)
         if sender is not None:
             self.fetcher.offer(news.stamp, sender.address)
 
@@ -112,10 +112,10 @@
         await self.join()
         while not self.should_stop:
             for _ in range(PROBES_PER_PERIOD):
-                target = self.state.detector.next_probe(self.random)
+                target = self.known.detector.next_probe(self.random)
                 if target is not None:
                     self.add_future(self.probe(target))
-            unheard = self.state.unheard_addresses()
+            unheard = self.known.unheard_addresses()
             if unheard:
                 address = self.random.choice(unheard)
                 self.add_future(self.probe_address(address, ''))
@@ -123,7 +123,7 @@
 
     async def join(self) -> None:
         """Asks some peers for all they know, before the platform."""
-        addresses = self.state.unheard_addresses()
+        addresses = self.known.unheard_addresses()
         self.random.shuffle(addresses)
         await gather(
             *(
@@ -138,7 +138,7 @@
         """Probes a host, with the help of others if need be."""
         if await self.probe_address(target.address, target.name):
             return
-        helpers = self.state.detector.helpers(target.name, self.random)
+        helpers = self.known.detector.helpers(target.name, self.random)
         results = await gather(
             *(
                 self.links.call(
@@ -152,14 +152,14 @@
         if any(isinstance(r, ProbeResult) and r.answered for r in results):
             return
         now = self.clock()
-        news = self.state.detector.take_silence(target, now)
-        self.state.outbox.add_hosts(news)
+        news = self.known.detector.take_silence(target, now)
+        self.known.outbox.add_hosts(news)
 
     async def probe_address(
         self, address: str, name: str, *, joining: bool = False
     ) -> bool:
         """Sends a heartbeat and tells whether the peer replied."""
-        heartbeat = self.state.make_heartbeat(
+        heartbeat = self.known.make_heartbeat(
             name, self.clock(), joining=joining
         )
         timeout_s = JOIN_TIMEOUT_S if joining else PROBE_TIMEOUT_S
@@ -167,17 +167,17 @@
         if not isinstance(reply, HeartbeatReply):
             return False
         now = self.clock()
-        self.state.take_heartbeat(reply.heartbeat, now)
+        self.known.take_heartbeat(reply.heartbeat, now)
         self.take_news(reply.news, reply.heartbeat.sender.name, now)
-        if reply.heartbeat.hosts != self.state.detector.replica.digests():
+        if reply.heartbeat.hosts != self.known.detector.replica.digests():
             self.send_repair(address, reply.heartbeat, now)
-        elif reply.heartbeat.servers != self.state.servers.replica.digests():
+        elif reply.heartbeat.servers != self.known.servers.replica.digests():
             self.send_repair(address, reply.heartbeat, now)
         return True
 
     def send_repair(self, address: str, peer: Heartbeat, now: float) -> None:
         """Sends records where a peer's digests still differ."""
-        repair = self.state.make_repair(peer, now)
+        repair = self.known.make_repair(peer, now)
         if repair.hosts or repair.servers:
             self.links.send(address, repair)
 
@@ -186,16 +186,16 @@
         """Tells peers of changes as soon as there are any."""
         while not self.should_stop:
             await self.sleep(FLUSH_S)
-            if not self.state.outbox.is_empty():
+            if not self.known.outbox.is_empty():
                 self.flush()
 
     def flush(self) -> None:
         """Sends one round of the outbox."""
-        detector = self.state.detector
+        detector = self.known.detector
         targets = choose_targets(
             detector.others(), detector.own.failure_domain, self.random
         )
-        news = self.state.make_news(self.clock())
+        news = self.known.make_news(self.clock())
         for address in targets:
             self.links.send(address, news)
 
@@ -204,14 +204,14 @@
         """Declares hosts gone that were silent for too long."""
         while not self.should_stop:
             await self.sleep(PERIOD_S / 4)
-            for record in self.state.detector.tick(self.clock()):
+            for record in self.known.detector.tick(self.clock()):
                 LOG.warning('host gone', extra={'gone': record.name})
-                self.state.outbox.add_hosts([record])
+                self.known.outbox.add_hosts([record])
                 await self.links.forget(record.address)
 
     async def leave(self) -> None:
         """Tells the peers that this host is leaving."""
-        detector = self.state.detector
+        detector = self.known.detector
         if detector.own.state is HostState.LEAVING:
             return
         record = detector.leave(self.clock())
--- a/cowslipmill/agent/peermessages.py
+++ b/cowslipmill/agent/peermessages.py
@@ -19,7 +19,7 @@
 MAX_AGENT_MESSAGE_BYTES = 2 * MAX_DOCUMENT_BYTES
 
 
-class News(Struct, frozen=True, tag='news', kw_only=True):
+class News(Struct, frozen=True, tag='news', array_like=True, kw_only=True):
     """Records that changed, and the sender's document."""
 
     hosts: tuple[Aged[HostRecord], ...] = ()
@@ -27,7 +27,9 @@
     stamp: Stamp = NOTHING
 
 
-class Heartbeat(Struct, frozen=True, tag='heartbeat', kw_only=True):
+class Heartbeat(
+    Struct, frozen=True, tag='heartbeat', array_like=True, kw_only=True
+):
     """A probe of the receiver, with digests of what the sender knows.
 
     Attributes:
@@ -52,7 +54,9 @@
     joining: bool = False
 
 
-class HeartbeatReply(Struct, frozen=True, tag='heartbeat-reply', kw_only=True):
+class HeartbeatReply(
+    Struct, frozen=True, tag='heartbeat-reply', array_like=True, kw_only=True
+):
     """The receiver's own digests, and records where they differ."""
 
     heartbeat: Heartbeat
--- a/cowslipmill/agent/statuspage.py
+++ b/cowslipmill/agent/statuspage.py
@@ -79,7 +79,7 @@
 class Reporting(Protocol):
     """The parts of an agent that its status tells of."""
 
-    state: AgentState
+    known: AgentState
     watcher: Watcher
     prober: Prober
     sent_rate: SentRate
@@ -93,8 +93,8 @@
 def make_status(agent: Reporting) -> bytes:
     """Returns the status of an agent as JSON."""
     now = agent.clock()
-    own = agent.state.detector.own
-    configuration = agent.state.configuration
+    own = agent.known.detector.own
+    configuration = agent.known.configuration
     in_force_s = now - configuration.in_force_at
     status = AgentStatus(
         host=own.name,
@@ -120,8 +120,8 @@
             )
             for conflict in sorted(configuration.conflicts)
         ),
-        members=list_members(agent.state, now),
-        servers=list_servers(agent.state, now),
+        members=list_members(agent.known, now),
+        servers=list_servers(agent.known, now),
         platform=PlatformStatus(
             watching=agent.watcher.watching,
             up=agent.platform_up,
--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -15,6 +15,7 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.lease import Report
 from cowslipmill.homes.lease import Result
+from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
@@ -79,9 +80,17 @@
         chooser: Finds servers.
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
+        observe: Called with a server and what came of a try.
     """
 
-    __slots__ = ('chooser', 'clock', 'hedging', 'rules', 'upstream')
+    __slots__ = (
+        'chooser',
+        'clock',
+        'hedging',
+        'observe',
+        'rules',
+        'upstream',
+    )
 
     def __init__(
         self,
@@ -96,6 +105,7 @@
         self.chooser = chooser
         self.clock = clock
         self.hedging = Hedging(clock)
+        self.observe: Callable[[Fact, Event], None] = ignore
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -183,6 +193,7 @@
                 server.fact, flight.request, deadline_ms
             )
             report = report_of(event)
+            self.observe(server.fact, event)
             if report.result is Result.ANSWERED:
                 self.hedging.record(exchange.route, started_at)
             return event
@@ -195,6 +206,10 @@
             choice.release(report)
 
 
+def ignore(fact: Fact, event: Event) -> None:
+    """Takes no notice of what came of a try."""
+
+
 def name_caller(request: OutgoingRequest) -> str:
     """Returns who sent a request: the name it gives, or its address."""
     headers = request.headers
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -72,9 +72,10 @@
         await self.add_runtime_dependency(
             Admin(settings.admin_listen, self.is_ready)
         )
-        await self.add_runtime_dependency(
+        self.feed_client = await self.add_runtime_dependency(
             FeedClient(settings.agent, hello, self.rules, self.random)
         )
+        dispatcher.observe = self.feed_client.observations.note
         self.listener = await self.add_runtime_dependency(
             Listener(settings.listen, self.rules, dispatcher, clock)
         )
@@ -84,6 +85,7 @@
         if self.listener is not None and not self.stopping:
             self.stopping = True
             self.listener.stopping = True
+            self.feed_client.leaving = True
             await sleep(self.settings.readiness_wait_ms / 1000)
             await self.listener.drain(self.settings.stop_bound_ms / 1000)
         await super().stop()
--- a/cowslipmill/entry/feedclient.py
+++ b/cowslipmill/entry/feedclient.py
@@ -1,6 +1,8 @@
 """Follows the agent of this host."""
 
+from asyncio import create_task
 from asyncio import get_running_loop
+from asyncio import sleep
 from logging import getLogger
 from random import Random
 
@@ -10,25 +12,37 @@
 from websockets.exceptions import WebSocketException
 
 from cowslipmill.agent.messages import DocumentInForce
+from cowslipmill.agent.messages import EntryLeaving
 from cowslipmill.agent.messages import Facts
 from cowslipmill.agent.messages import FEED_CODEC
+from cowslipmill.agent.messages import FeedMessage
 from cowslipmill.agent.messages import Hello
 from cowslipmill.agent.messages import MAX_FEED_BYTES
 from cowslipmill.agent.messages import Members
+from cowslipmill.configuration.stamp import NOTHING
+from cowslipmill.configuration.stamp import Stamp
 from cowslipmill.document.checker import decode_document
 from cowslipmill.document.problem import InvalidDocument
+from cowslipmill.entry.observations import Observations
 from cowslipmill.entry.rules import Rules
+from cowslipmill.peers.codec import Malformed
 
 LOG = getLogger(__name__)
 
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
+REPORT_S = 0.05
 
 
 class FeedClient(Service):
     """Keeps the rules up to date with the agent.
 
     Without its agent the entry goes on with the rules that it has.
+
+    Attributes:
+        stamp: Version and digest of the document in force.
+        observations: What the data path noticed of servers.
+        leaving: Whether the entry takes no new work any more.
     """
 
     def __init__(
@@ -40,6 +54,9 @@
         self.hello = hello
         self.rules = rules
         self.random = random
+        self.stamp = NOTHING
+        self.observations = Observations()
+        self.leaving = False
 
     @Service.task
     async def follow(self) -> None:
@@ -60,24 +77,50 @@
     async def receive(self, connection: ClientConnection) -> None:
         """Takes in messages until the connection ends."""
         await connection.send(FEED_CODEC.encode(self.hello))
-        async for raw in connection:
-            if not isinstance(raw, bytes):
-                continue
-            message = FEED_CODEC.decode(raw)
-            if isinstance(message, DocumentInForce):
-                self.put_in_force(message)
-            if isinstance(message, Facts):
-                self.rules.take_facts(message.facts)
-            if isinstance(message, Members):
-                now = get_running_loop().time()
-                self.rules.take_members(message.members, now)
+        self.observations.told.clear()
+        reporter = create_task(self.report(connection))
+        try:
+            async for raw in connection:
+                if isinstance(raw, bytes):
+                    self.take(FEED_CODEC.decode(raw))
+        finally:
+            reporter.cancel()
+
+    def take(self, message: FeedMessage | Malformed) -> None:
+        """Takes in one message."""
+        if isinstance(message, DocumentInForce):
+            self.put_in_force(message)
+        if isinstance(message, Facts):
+            self.rules.take_facts(message.facts)
+        if isinstance(message, Members):
+            now = get_running_loop().time()
+            self.rules.take_members(message.members, now)
+
+    async def report(self, connection: ClientConnection) -> None:
+        """Tells the agent what the data path noticed."""
+        told_leaving = False
+        try:
+            while True:
+                observed = self.observations.take(get_running_loop().time())
+                if observed is not None:
+                    await connection.send(FEED_CODEC.encode(observed))
+                if self.leaving and not told_leaving:
+                    await connection.send(FEED_CODEC.encode(EntryLeaving()))
+                    told_leaving = True
+                await sleep(REPORT_S)
+        except WebSocketException:
+            return
 
     def put_in_force(self, message: DocumentInForce) -> None:
-        """Puts the agent's document in force."""
+        """Puts the agent's document in force unless it is an older one."""
+        stamp = Stamp(message.version, message.digest)
+        if stamp <= self.stamp:
+            return
         try:
             document = decode_document(message.raw)
         except InvalidDocument as error:
             LOG.warning('document refused', extra={'reason': str(error)})
             return
+        self.stamp = stamp
         if self.rules.put_in_force(document):
             LOG.info('document in force', extra={'version': document.version})
--- a/cowslipmill/entry/rules.py
+++ b/cowslipmill/entry/rules.py
@@ -63,8 +63,11 @@
         self.view = View()
 
     def put_in_force(self, document: Document) -> bool:
-        """Puts a document in force if it is newer than the present one."""
-        if self.document and document.version <= self.document.version:
+        """Puts a document in force unless its version is an older one.
+
+        The feed decides between two documents of one version.
+        """
+        if self.document and document.version < self.document.version:
             return False
         self.document = document
         self.routes = RouteTable(document.routes)
--- a/cowslipmill/measuring/prober.py
+++ b/cowslipmill/measuring/prober.py
@@ -38,7 +38,7 @@
     """Calls health endpoints within this host's share of the budget.
 
     Attributes:
-        state: What the agent knows.
+        known: What the agent knows.
         on_observed: Called with a server that says it is leaving.
         answered_at: When a server last answered anything of this host's.
         probes: Calls made.
@@ -52,7 +52,7 @@
     ) -> None:
         """Keeps what is known and whom to tell."""
         super().__init__()
-        self.state = state
+        self.known = state
         self.on_observed = on_observed
         self.answered_at: dict[str, float] = {}
         self.probes = 0
@@ -64,8 +64,8 @@
     async def on_start(self) -> None:
         """Opens the session."""
         self.clock = get_running_loop().time
-        own = self.state.detector.own.address
-        self.share = MeasuringShare(own, self.state.addresses, self.clock())
+        own = self.known.detector.own.address
+        self.share = MeasuringShare(own, self.known.addresses, self.clock())
         self.session = await self.add_async_context(
             ClientSession(
                 connector=TCPConnector(limit=0, force_close=True),
@@ -91,7 +91,7 @@
 
     def update_share(self, now: float) -> None:
         """Takes in the membership."""
-        records = self.state.detector.replica.records.values()
+        records = self.known.detector.replica.records.values()
         heard = {
             record.address
             for record in records
@@ -106,14 +106,14 @@
 
     def measure_due(self, now: float) -> None:
         """Starts the calls that are due and within the budget."""
-        document = self.state.configuration.document
+        document = self.known.configuration.document
         if document is None:
             return
         budgets = {
             service.name: service.measuring_per_second
             for service in document.services
         }
-        records = self.state.servers.replica.records
+        records = self.known.servers.replica.records
         for record in records.values():
             if record.state is not State.LIVE:
                 continue
