--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from cowslipmill.choice.chooser import Chooser
 from cowslipmill.choice.chooser import Demand
 from cowslipmill.document.document import Route
+from cowslipmill.entry.firstbyte import FirstByteRefused
 from cowslipmill.entry.hedging import Hedging
 from cowslipmill.entry.results import report_of
 from cowslipmill.entry.rules import Rules
@@ -21,14 +22,17 @@
 from cowslipmill.outcomes.outcome import Outcome
 from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
+from cowslipmill.tries.action import Confirm
 from cowslipmill.tries.action import Finish
 from cowslipmill.tries.action import Send
+from cowslipmill.tries.action import Write
+from cowslipmill.tries.advance import advance
 from cowslipmill.tries.budget import RetryBudget
+from cowslipmill.tries.event import Connected
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
 from cowslipmill.tries.event import ServerChosen
 from cowslipmill.tries.event import ServerRefused
-from cowslipmill.tries.exchange import advance
 from cowslipmill.tries.exchange import Exchange
 
 MAX_CALLER_CHARS = 64
@@ -140,11 +144,14 @@
         """Does what the exchange asks for and returns what happened."""
         if isinstance(action, Choose):
             return await self.choose(action, flight)
+        if isinstance(action, Confirm):
+            return await self.upstream.confirm(action.server.fact)
         assert isinstance(action, Send)
         return await self.send(action, flight)
 
     async def choose(self, action: Choose, flight: Flight) -> Event:
         """Returns a server, or why there is none."""
+        flight.give_back_unused()
         demand = flight.demand(action.excluded)
         choice = await self.chooser.acquire(demand)
         if isinstance(choice, NotRun):
@@ -188,15 +195,24 @@
         server = choice.server
         exchange = flight.exchange
         started_at = self.clock()
-        deadline_ms = exchange.remaining_ms(started_at)
+
+        def permit() -> int:
+            """Returns the time left if the first byte may be written now."""
+            action = advance(Connected(), exchange, self.clock())
+            if not isinstance(action, Write):
+                raise FirstByteRefused
+            return action.deadline_ms
+
         server.in_flight += 1
         report = Report(Result.CANCELLED)
         try:
             event = await self.upstream.send(
-                server.fact, flight.request, deadline_ms
+                server.fact, flight.request, permit
             )
             report = report_of(event)
             self.observe(server.fact, event)
+            if exchange.outcome is not None:
+                report = Report(Result.UNUSED)
             if report.result is Result.ANSWERED:
                 self.hedging.record(exchange.route, started_at)
             return event
--- a/cowslipmill/entry/tests/test_upstream.py
+++ b/cowslipmill/entry/tests/test_upstream.py
@@ -88,7 +88,7 @@
             method, '/a?b=%20c', CIMultiDict(), body, MAX_ANSWER_BYTES
         )
         async with asyncio.timeout(BOUND_S):
-            return await self.upstream.send(self.fact, request, 500)
+            return await self.upstream.send(self.fact, request, lambda: 500)
 
     async def send_for(self, answer: bytes, method: str = 'GET') -> Event:
         """Makes one try that gets these bytes."""
