--- a/cowslipmill/standin/main.py
+++ b/cowslipmill/standin/main.py
@@ -7,6 +7,7 @@
 from cowslipmill.runtime.program import run_program
 from cowslipmill.runtime.program import run_service
 from cowslipmill.standin.occupancy import Occupancy
+from cowslipmill.standin.passthrough import StandinPassthrough
 from cowslipmill.standin.platform import StandinPlatform
 from cowslipmill.standin.server import StandinServer
 from cowslipmill.standin.settings import StandinSettings
@@ -27,6 +28,11 @@
                 StandinPlatform(self.settings.platform)
             )
         occupancy = Occupancy()
+        passthrough = self.settings.passthrough
+        if passthrough is not None:
+            await self.add_runtime_dependency(
+                StandinPassthrough(passthrough.address, passthrough.targets)
+            )
         for server in self.settings.servers:
             await self.add_runtime_dependency(StandinServer(server, occupancy))
 
--- a/cowslipmill/standin/settings.py
+++ b/cowslipmill/standin/settings.py
@@ -30,6 +30,15 @@
     seed: int = 1
 
 
+class PassthroughSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A bare pass-through to servers in turn."""
+
+    address: Address
+    targets: Annotated[tuple[Address, ...], Meta(min_length=1)]
+
+
 class StandinSettings(
     Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -38,4 +47,5 @@
     name: Name
     platform: Address | None = None
     collector: Address | None = None
+    passthrough: PassthroughSettings | None = None
     servers: tuple[ServerSettings, ...] = ()
