Look metric labels up once for each route

Cause: a profile of one entry (cProfile, 3,200 calls) shows labels() of prometheus_client called three times a request, 0.17 s of its own time.

Change: a meter for each route keeps the children of the usual labels.

Processor time a call of the whole entry varied from 1.4 to 2.0 ms between runs on the busy machine, before and after alike, so no effect on the whole could be shown.

--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -20,8 +20,7 @@
 from cowslipmill.entry.connection import CallerServer
 from cowslipmill.entry.dispatcher import Dispatcher
 from cowslipmill.entry.metrics import INTERNAL_ERRORS
-from cowslipmill.entry.metrics import REQUEST_DURATION
-from cowslipmill.entry.metrics import REQUESTS
+from cowslipmill.entry.metrics import meter_route
 from cowslipmill.entry.metrics import REQUESTS_IN_FLIGHT
 from cowslipmill.entry.requestbody import read_body
 from cowslipmill.entry.requesthead import end_to_end_headers
@@ -154,7 +153,7 @@
             if not self.dispatching:
                 self.idle.set()
         name = route.name if isinstance(route, Route) else ''
-        REQUEST_DURATION.labels(name).observe(self.clock() - arrived_at)
+        meter_route(name).duration.observe(self.clock() - arrived_at)
         return self.answer(name, outcome)
 
     async def settle(
@@ -198,10 +197,10 @@
         )
         answer.headers.setdefault('Server', SERVER_NAME)
         if isinstance(outcome, Answered):
-            REQUESTS.labels(route, 'answered', '').inc()
+            meter_route(route).answered.inc()
         else:
             label = 'not-run' if isinstance(outcome, NotRun) else 'unknown'
-            REQUESTS.labels(route, label, outcome.reason.value).inc()
+            meter_route(route).count_refused(label, outcome.reason.value)
             if outcome.reason in CLOSING_REASONS:
                 answer.force_close()
         if self.stopping:
--- a/cowslipmill/entry/metrics.py
+++ b/cowslipmill/entry/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of an entry."""
 
+from functools import cache
+
 from prometheus_client import Counter
 from prometheus_client import Gauge
 from prometheus_client import Histogram
@@ -62,3 +64,37 @@
     'Second tries of idempotent requests by route.',
     ('route',),
 )
+
+
+class RouteMeter:
+    """Counts the requests of one route.
+
+    Attributes:
+        route: Name of the route, or '' for requests without one.
+        answered: Requests that a server answered.
+        duration: Time to the outcome.
+        refused: Requests without an answer, by outcome and reason.
+    """
+
+    __slots__ = ('answered', 'duration', 'refused', 'route')
+
+    def __init__(self, route: str) -> None:
+        """Looks the usual label values up once."""
+        self.route = route
+        self.answered = REQUESTS.labels(route, 'answered', '')
+        self.duration = REQUEST_DURATION.labels(route)
+        self.refused: dict[tuple[str, str], Counter] = {}
+
+    def count_refused(self, outcome: str, reason: str) -> None:
+        """Counts one request that ended without an answer."""
+        counter = self.refused.get((outcome, reason))
+        if counter is None:
+            counter = REQUESTS.labels(self.route, outcome, reason)
+            self.refused[outcome, reason] = counter
+        counter.inc()
+
+
+@cache
+def meter_route(route: str) -> RouteMeter:
+    """Returns the meter of a route; route names come from the document."""
+    return RouteMeter(route)
