--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -15,6 +15,7 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.lease import Report
 from cowslipmill.homes.lease import Result
+from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
@@ -22,6 +23,7 @@
 from cowslipmill.tries.action import Choose
 from cowslipmill.tries.action import Finish
 from cowslipmill.tries.action import Send
+from cowslipmill.tries.budget import RetryBudget
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
 from cowslipmill.tries.event import ServerChosen
@@ -79,9 +81,17 @@
         chooser: Finds servers.
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
+        observe: Called with a server and what came of a try.
     """
 
-    __slots__ = ('chooser', 'clock', 'hedging', 'rules', 'upstream')
+    __slots__ = (
+        'chooser',
+        'clock',
+        'hedging',
+        'observe',
+        'rules',
+        'upstream',
+    )
 
     def __init__(
         self,
@@ -96,6 +106,7 @@
         self.chooser = chooser
         self.clock = clock
         self.hedging = Hedging(clock)
+        self.observe: Callable[[Fact, Event], None] = ignore
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -107,7 +118,8 @@
             request: What to send.
             deadline_at: Monotonic seconds.
         """
-        budget = self.rules.budgets[route.service]
+        self.rules.refresh_if_stale(route.service)
+        budget = self.rules.budgets.get(route.service) or RetryBudget(0.0)
         exchange = Exchange(route, budget, deadline_at)
         flight = Flight(exchange, request)
         action = exchange.start()
@@ -143,9 +155,10 @@
     async def send(self, action: Send, flight: Flight) -> Event:
         """Sends the request, and again elsewhere if it takes long."""
         route = flight.exchange.route
-        service = self.rules.services[route.service]
-        self.hedging.earn(route, service.hedge_share)
-        delay_s = self.hedging.delay_s(route, service.hedge_share)
+        service = self.rules.services.get(route.service)
+        hedge_share = service.hedge_share if service else 0.0
+        self.hedging.earn(route, hedge_share)
+        delay_s = self.hedging.delay_s(route, hedge_share)
         first = self.send_once(flight.take_choice(), action, flight)
         if delay_s is None:
             return await first
@@ -183,6 +196,7 @@
                 server.fact, flight.request, deadline_ms
             )
             report = report_of(event)
+            self.observe(server.fact, event)
             if report.result is Result.ANSWERED:
                 self.hedging.record(exchange.route, started_at)
             return event
@@ -195,6 +209,10 @@
             choice.release(report)
 
 
+def ignore(fact: Fact, event: Event) -> None:
+    """Takes no notice of what came of a try."""
+
+
 def name_caller(request: OutgoingRequest) -> str:
     """Returns who sent a request: the name it gives, or its address."""
     headers = request.headers
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -21,6 +21,8 @@
 from cowslipmill.settings.settings import EntrySettings
 from cowslipmill.telemetry.admin import Admin
 
+REFRESH_INTERVAL_S = 0.02
+
 
 class Entry(Service):
     """Receives from callers, calls one backend server, answers.
@@ -72,9 +74,10 @@
         await self.add_runtime_dependency(
             Admin(settings.admin_listen, self.is_ready)
         )
-        await self.add_runtime_dependency(
+        self.feed_client = await self.add_runtime_dependency(
             FeedClient(settings.agent, hello, self.rules, self.random)
         )
+        dispatcher.observe = self.feed_client.observations.note
         self.listener = await self.add_runtime_dependency(
             Listener(settings.listen, self.rules, dispatcher, clock)
         )
@@ -84,10 +87,18 @@
         if self.listener is not None and not self.stopping:
             self.stopping = True
             self.listener.stopping = True
+            self.feed_client.leaving = True
             await sleep(self.settings.readiness_wait_ms / 1000)
             await self.listener.drain(self.settings.stop_bound_ms / 1000)
         await super().stop()
 
+    @Service.task
+    async def refresh_rules(self) -> None:
+        """Refreshes stale services a few at a time, between requests."""
+        while not self.should_stop:
+            is_stale = self.rules.refresh_some()
+            await sleep(0 if is_stale else REFRESH_INTERVAL_S)
+
     def is_ready(self) -> bool:
         """Tells whether the entry wants new work."""
         return self.rules.document is not None and not self.stopping
