--- a/cowslipmill/status/main.py
+++ b/cowslipmill/status/main.py
@@ -75,8 +75,6 @@
     Returns:
         0 if every host answered and all have the same in force, else 1.
     """
-    if len(arguments) > 1:
-        raise UsageError(f'unexpected argument {arguments[1]!r}')
     answers = run_loop(collect(find_addresses()))
     agree = all_agree(answers)
     if flags.FLAGS.json:
