Name hosts that others know and nobody asks

The agents of the settings age as hosts are replaced, so 'in force at all hosts' could pass over a host. The rollout page, the fleet page and the status program name each member without an answer now.

--- a/cowslipmill/console/fleet.py
+++ b/cowslipmill/console/fleet.py
@@ -22,6 +22,7 @@
 from cowslipmill.status.metrics import Figures
 from cowslipmill.status.metrics import OUTCOMES
 from cowslipmill.status.standing import count_versions
+from cowslipmill.status.standing import find_unasked
 
 Row = tuple[object, ...]
 
@@ -41,6 +42,10 @@
         for answer in (*answers, *entries)
         if isinstance(answer, NoAnswer)
     ]
+    silent += [
+        f'{name}: known to other hosts, but none of the addresses is its'
+        for name in find_unasked(answers)
+    ]
     return render(
         request,
         'fleet.html',
--- a/cowslipmill/console/rollout.py
+++ b/cowslipmill/console/rollout.py
@@ -20,6 +20,7 @@
 from cowslipmill.status.collector import HostReport
 from cowslipmill.status.collector import NoAnswer
 from cowslipmill.status.standing import find_standing
+from cowslipmill.status.standing import find_unasked
 from cowslipmill.status.standing import Standing
 
 UNKNOWN = '?'
@@ -68,6 +69,7 @@
         hosts=rows,
         overtaken=bool(counts[Standing.OVERTAKEN]) or served.overtaken,
         summary=f'{served.text} {summarise(counts, len(rows))}',
+        unasked=find_unasked(answers),
     )
 
 
--- a/cowslipmill/console/tests/test_access.py
+++ b/cowslipmill/console/tests/test_access.py
@@ -1,12 +1,18 @@
 """Tokens, sessions, CSRF and headers."""
 
+from aiohttp.test_utils import TestClient
+from aiohttp.test_utils import TestServer
+from msgspec.structs import replace
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from cowslipmill.console.application import make_application
 from cowslipmill.console.signer import Signer
 from cowslipmill.console.site import SESSION_COOKIE
+from cowslipmill.console.site import SITE
+from cowslipmill.console.site import Site
 from cowslipmill.console.site import VISIT_COOKIE
 from cowslipmill.console.tests.conftest import ALL_TEAMS_TOKEN
 from cowslipmill.console.tests.conftest import TEAM_TOKEN
@@ -164,6 +170,27 @@
         assert_that(cookie['samesite'], Equals('Strict'))
 
 
+@pytest.mark.asyncio
+async def test_behind_tls_cookies_are_sent_over_tls_only(
+    world: World,
+) -> None:
+    """The default setting marks each cookie as secure."""
+    app = world.consoles[0].app
+    assert app is not None
+    site = app[SITE]
+    settings = replace(site.settings, secure_cookies=True)
+    secure = Site(
+        settings=settings,
+        signer=site.signer,
+        source=site.source,
+        wall_clock=site.wall_clock,
+    )
+    server = TestServer(make_application(secure))
+    async with TestClient(server) as client:
+        answer = await client.get('/sign-in')
+        assert_that(answer.cookies[VISIT_COOKIE]['secure'], Equals(True))
+
+
 def test_a_seal_holds_for_one_purpose_and_any_of_the_keys() -> None:
     """Keys can be rotated; a session is no draft."""
     old, new = Signer(['a' * 32]), Signer(['b' * 32, 'a' * 32])
--- a/cowslipmill/status/standing.py
+++ b/cowslipmill/status/standing.py
@@ -9,6 +9,8 @@
 from cowslipmill.status.collector import HostReport
 from cowslipmill.status.collector import NoAnswer
 
+GONE = 'gone'
+
 
 class Standing(Enum):
     """What a host has done with a version."""
@@ -69,6 +71,21 @@
     return max((version for version, _ in count_versions(answers)), default=0)
 
 
+def find_unasked(answers: Iterable[HostAnswer]) -> tuple[str, ...]:
+    """Returns hosts that others know and that no answer is from.
+
+    Hosts are replaced at any time, so a list of addresses ages.
+    """
+    reports = [a.status for a in answers if isinstance(a, HostReport)]
+    known = {
+        member.name
+        for report in reports
+        for member in report.members
+        if member.state != GONE
+    }
+    return tuple(sorted(known - {report.host for report in reports}))
+
+
 def all_agree(answers: Iterable[HostAnswer]) -> bool:
     """Tells whether every host answered and all have the same in force."""
     known = tuple(answers)
--- a/cowslipmill/status/table.py
+++ b/cowslipmill/status/table.py
@@ -8,6 +8,7 @@
 from cowslipmill.status.collector import HostReport
 from cowslipmill.status.collector import NoAnswer
 from cowslipmill.status.standing import count_versions
+from cowslipmill.status.standing import find_unasked
 
 HEADINGS = (
     'HOST',
@@ -36,6 +37,8 @@
     for answer in answers:
         if isinstance(answer, NoAnswer):
             yield f'{answer.address}: no answer: {answer.reason}'
+    for name in find_unasked(answers):
+        yield f'{name}: known to other hosts, but no answer is from it'
     for (version, digest), count in sorted(count_versions(answers).items()):
         yield f'version {version} ({digest or "none"}): {count} hosts'
 
