--- a/cowslipmill/agent/peermessages.py
+++ b/cowslipmill/agent/peermessages.py
@@ -63,25 +63,29 @@
     news: News
 
 
-class ProbeFor(Struct, frozen=True, tag='probe-for'):
+class ProbeFor(Struct, frozen=True, tag='probe-for', array_like=True):
     """Asks the receiver to probe an agent that the sender cannot reach."""
 
     address: Address
 
 
-class ProbeResult(Struct, frozen=True, tag='probe-result'):
+class ProbeResult(Struct, frozen=True, tag='probe-result', array_like=True):
     """Whether an agent answered."""
 
     answered: bool
 
 
-class FetchDocument(Struct, frozen=True, tag='fetch-document'):
+class FetchDocument(
+    Struct, frozen=True, tag='fetch-document', array_like=True
+):
     """Asks for the document in force; `base` is the one that is known."""
 
     base: Stamp
 
 
-class WholeDocument(Struct, frozen=True, tag='whole-document'):
+class WholeDocument(
+    Struct, frozen=True, tag='whole-document', array_like=True
+):
     """The canonical text of the document in force."""
 
     raw: bytes
--- a/cowslipmill/configuration/delta.py
+++ b/cowslipmill/configuration/delta.py
@@ -20,7 +20,9 @@
 MAX_CHANGED_SHARE = 0.5
 
 
-class DocumentDelta(Struct, frozen=True, tag='delta', kw_only=True):
+class DocumentDelta(
+    Struct, frozen=True, tag='delta', array_like=True, kw_only=True
+):
     """What a host needs to make the next document from its base.
 
     Attributes:
