--- a/cowslipmill/entry/feedclient.py
+++ b/cowslipmill/entry/feedclient.py
@@ -21,7 +21,7 @@
 from cowslipmill.agent.messages import Members
 from cowslipmill.configuration.stamp import NOTHING
 from cowslipmill.configuration.stamp import Stamp
-from cowslipmill.document.checker import decode_document
+from cowslipmill.document.cache import DocumentCache
 from cowslipmill.document.problem import InvalidDocument
 from cowslipmill.entry.observations import Observations
 from cowslipmill.entry.rules import Rules
@@ -57,6 +57,7 @@
         self.stamp = NOTHING
         self.observations = Observations()
         self.leaving = False
+        self.documents = DocumentCache()
 
     @Service.task
     async def follow(self) -> None:
@@ -117,7 +118,7 @@
         if stamp <= self.stamp:
             return
         try:
-            document = decode_document(message.raw)
+            document = self.documents.decode(message.raw)
         except InvalidDocument as error:
             LOG.warning('document refused', extra={'reason': str(error)})
             return
