--- /dev/null
+++ b/cowslipmill/agent/tests/test_state.py
@@ -0,0 +1,106 @@
+"""Tests of what agents tell each other, without a network."""
+
+from random import Random
+
+from msgspec import json
+from msgspec.structs import replace
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from cowslipmill.agent.outbox import choose_targets
+from cowslipmill.agent.outbox import FANOUT
+from cowslipmill.agent.outbox import ROUNDS
+from cowslipmill.agent.peermessages import FetchDocument
+from cowslipmill.agent.peermessages import WholeDocument
+from cowslipmill.agent.state import AgentState
+from cowslipmill.configuration.delta import DocumentDelta
+from cowslipmill.configuration.stamp import NOTHING
+from cowslipmill.hosts.fact import State
+from cowslipmill.launch.layout import Layout
+from cowslipmill.launch.network import Network
+
+LAYOUT = Layout.example('caroni', Network(1), host_count=3)
+
+
+@pytest.fixture
+def states() -> list[AgentState]:
+    """Returns three agents that know each other and the servers."""
+    found = [AgentState(LAYOUT.agent(index), 1, 0.0) for index in range(3)]
+    for state in found:
+        state.take_host_list(LAYOUT.host_list().hosts, 0.0)
+        for other in found:
+            exchange(state, other)
+    return found
+
+
+def exchange(sender: AgentState, receiver: AgentState) -> None:
+    """Sends a heartbeat and takes in its reply and the repair."""
+    name = receiver.detector.own.name
+    heartbeat = sender.make_heartbeat(name, 1.0)
+    receiver.take_heartbeat(heartbeat, 1.0)
+    reply = receiver.make_reply(heartbeat, 1.0)
+    sender.take_heartbeat(reply.heartbeat, 1.0)
+    sender.take_news(reply.news, 1.0)
+    receiver.take_news(sender.make_repair(reply.heartbeat, 1.0), 1.0)
+
+
+def state_of(state: AgentState, server: str) -> State:
+    """Returns the state of a server in an agent's view."""
+    return state.servers.replica.records[server].state
+
+
+def test_news_of_a_leaving_server_is_told_on(
+    states: list[AgentState],
+) -> None:
+    """Each agent to whom it is news tells it for some rounds."""
+    for state in states:
+        state.outbox.servers.clear()
+    news = states[0].servers.take_signal('registry-0', 1, 1.0)
+    states[0].outbox.add_servers(news)
+    states[1].take_news(states[0].make_news(1.0), 1.0)
+    states[2].take_news(states[1].make_news(1.0), 1.0)
+    assert_that(state_of(states[2], 'registry-0'), Equals(State.LEAVING))
+    rounds = 1
+    while not states[1].outbox.is_empty():
+        states[1].make_news(1.0)
+        rounds += 1
+    assert_that(rounds, Equals(ROUNDS))
+
+
+def test_heartbeats_repair_lost_news(states: list[AgentState]) -> None:
+    """Digests find what no news has told."""
+    states[0].servers.take_signal('registry-0', 1, 1.0)
+    exchange(states[1], states[0])
+    exchange(states[1], states[2])
+    for state in states:
+        assert_that(state_of(state, 'registry-0'), Equals(State.LEAVING))
+
+
+def test_document_goes_as_a_delta_to_those_that_know_its_base() -> None:
+    """One without the base gets the whole document."""
+    state = AgentState(LAYOUT.agent(0), 1, 0.0)
+    document = LAYOUT.document
+    state.configuration.offer(json.encode(document), 0.0)
+    base = state.configuration.stamp
+    following = replace(document, version=2, base=1)
+    state.configuration.offer(json.encode(following), 0.0)
+    known = state.make_document_reply(FetchDocument(base))
+    unknown = state.make_document_reply(FetchDocument(NOTHING))
+    assert_that(known, IsInstance(DocumentDelta))
+    assert_that(unknown, IsInstance(WholeDocument))
+
+
+def test_targets_are_near_first_but_not_all_near() -> None:
+    """Some peers of a round are of other failure domains."""
+    layout = Layout.example('caroni', Network(1), host_count=18)
+    others = [
+        AgentState(layout.agent(index), 1, 0.0).detector.own
+        for index in range(1, 18)
+    ]
+    domains = {host.address: host.failure_domain for host in others}
+    targets = choose_targets(others, 'domain-a', Random(3))
+    near = [address for address in targets if domains[address] == 'domain-a']
+    assert_that(len(set(targets)), Equals(FANOUT))
+    assert_that(0 < len(near) < FANOUT, Equals(True))
