--- a/cowslipmill/agent/feed.py
+++ b/cowslipmill/agent/feed.py
@@ -39,8 +39,8 @@
     def __init__(
         self,
         address: str,
-        on_entries: Callable[[], None],
-        on_observed: Callable[[Observed], None],
+        on_entries: Callable[[], None] = lambda: None,
+        on_observed: Callable[[Observed], None] = lambda observed: None,
     ) -> None:
         """Keeps the address to listen on and whom to tell."""
         super().__init__()
--- a/cowslipmill/entry/feedclient.py
+++ b/cowslipmill/entry/feedclient.py
@@ -54,10 +54,10 @@
         self.hello = hello
         self.rules = rules
         self.random = random
-        self.documents = DocumentCache()
         self.stamp = NOTHING
         self.observations = Observations()
         self.leaving = False
+        self.documents = DocumentCache()
 
     @Service.task
     async def follow(self) -> None:
