--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -7,6 +7,7 @@
 from cowslipmill.choice.chooser import Choice
 from cowslipmill.choice.chooser import Chooser
 from cowslipmill.choice.chooser import Demand
+from cowslipmill.choice.server import Server
 from cowslipmill.document.document import Route
 from cowslipmill.entry.firstbyte import FirstByteRefused
 from cowslipmill.entry.hedging import Hedging
@@ -20,6 +21,7 @@
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
+from cowslipmill.outcomes.outcome import Reason
 from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
 from cowslipmill.tries.action import Confirm
@@ -31,12 +33,15 @@
 from cowslipmill.tries.event import Connected
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
+from cowslipmill.tries.event import ExchangeBroken
 from cowslipmill.tries.event import ServerChosen
 from cowslipmill.tries.event import ServerRefused
 from cowslipmill.tries.exchange import Exchange
 
 MAX_CALLER_CHARS = 64
 
+OnLost = Callable[[Route, OutgoingRequest, Server], None]
+
 
 class Flight:
     """One request on its way.
@@ -86,6 +91,7 @@
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
         observe: Called with a server and what came of a try.
+        on_lost: Called with each server that was lost with its request.
     """
 
     __slots__ = (
@@ -93,6 +99,7 @@
         'clock',
         'hedging',
         'observe',
+        'on_lost',
         'rules',
         'upstream',
     )
@@ -111,6 +118,7 @@
         self.clock = clock
         self.hedging = Hedging(clock)
         self.observe: Callable[[Fact, Event], None] = ignore
+        self.on_lost: OnLost | None = None
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -211,6 +219,8 @@
             )
             report = report_of(event)
             self.observe(server.fact, event)
+            if is_lost(event) and self.on_lost is not None:
+                self.on_lost(exchange.route, flight.request, server)
             if exchange.outcome is not None:
                 report = Report(Result.UNUSED)
             if report.result is Result.ANSWERED:
@@ -229,6 +239,14 @@
     """Takes no notice of what came of a try."""
 
 
+def is_lost(event: Event) -> bool:
+    """Tells whether a server broke its connection."""
+    return (
+        isinstance(event, ExchangeBroken)
+        and event.reason is Reason.CONNECTION_LOST
+    )
+
+
 def name_caller(request: OutgoingRequest) -> str:
     """Returns who sent a request: the name it gives, or its address."""
     headers = request.headers
