--- a/cowslipmill/console/tests/test_access.py
+++ b/cowslipmill/console/tests/test_access.py
@@ -1,12 +1,18 @@
 """Tokens, sessions, CSRF and headers."""
 
+from aiohttp.test_utils import TestClient
+from aiohttp.test_utils import TestServer
+from msgspec.structs import replace
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from cowslipmill.console.application import make_application
 from cowslipmill.console.signer import Signer
 from cowslipmill.console.site import SESSION_COOKIE
+from cowslipmill.console.site import SITE
+from cowslipmill.console.site import Site
 from cowslipmill.console.site import VISIT_COOKIE
 from cowslipmill.console.tests.conftest import ALL_TEAMS_TOKEN
 from cowslipmill.console.tests.conftest import TEAM_TOKEN
@@ -83,6 +89,39 @@
     assert_that(stranger.heading(), Equals('Sign in'))
 
 
+@pytest.mark.asyncio
+async def test_a_form_goes_on_after_its_session_has_ended(
+    world: World,
+) -> None:
+    """What was typed survives the sign-in, also one that fails first."""
+    browser = await world.sign_in()
+    await browser.press('Edit route book-exam')
+    world.clock += 28_801
+    await browser.press('Take into the draft', {'deadline_ms': '7777'})
+    assert_that(browser.status, Equals(401))
+    assert_that(browser.text(), Contains('Your session has ended'))
+    await browser.press('Sign in', {'token': 'wrong'})
+    await browser.press('Sign in', {'token': ALL_TEAMS_TOKEN})
+    assert_that(browser.heading(), Equals('You are signed in again'))
+    await browser.press('Go on')
+    await browser.press('Review changes')
+    assert_that(browser.text(), Contains('deadline_ms 5000 7777'))
+
+
+@pytest.mark.asyncio
+async def test_a_forged_form_does_not_wait_for_a_sign_in(
+    world: World,
+) -> None:
+    """Only a form of this console goes on, and only to one of its forms."""
+    stranger = await world.visit()
+    await stranger.post('/draft/save', {'name': 'x', 'csrf': 'x'})
+    assert_that(stranger.status, Equals(403))
+    await stranger.open('/sign-in')
+    elsewhere = {'token': ALL_TEAMS_TOKEN, 'resume': '//elsewhere.example'}
+    await stranger.press('Sign in', elsewhere)
+    assert_that(stranger.heading(), Equals('Document in force'))
+
+
 @pytest.mark.asyncio
 async def test_signing_out_ends_the_session(world: World) -> None:
     """After it the browser must sign in again."""
@@ -108,6 +147,13 @@
             browser.headers['X-Content-Type-Options'], Equals('nosniff')
         )
         assert_that(browser.headers['Referrer-Policy'], Equals('no-referrer'))
+    stranger = await world.visit()
+    answer = await stranger.client.get('/', allow_redirects=False)
+    assert_that(answer.status, Equals(303))
+    assert_that(
+        answer.headers['Content-Security-Policy'],
+        Contains("default-src 'none'"),
+    )
 
 
 @pytest.mark.asyncio
@@ -124,6 +170,27 @@
         assert_that(cookie['samesite'], Equals('Strict'))
 
 
+@pytest.mark.asyncio
+async def test_behind_tls_cookies_are_sent_over_tls_only(
+    world: World,
+) -> None:
+    """The default setting marks each cookie as secure."""
+    app = world.consoles[0].app
+    assert app is not None
+    site = app[SITE]
+    settings = replace(site.settings, secure_cookies=True)
+    secure = Site(
+        settings=settings,
+        signer=site.signer,
+        source=site.source,
+        wall_clock=site.wall_clock,
+    )
+    server = TestServer(make_application(secure))
+    async with TestClient(server) as client:
+        answer = await client.get('/sign-in')
+        assert_that(answer.cookies[VISIT_COOKIE]['secure'], Equals(True))
+
+
 def test_a_seal_holds_for_one_purpose_and_any_of_the_keys() -> None:
     """Keys can be rotated; a session is no draft."""
     old, new = Signer(['a' * 32]), Signer(['b' * 32, 'a' * 32])
--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -17,6 +17,7 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.lease import Report
 from cowslipmill.homes.lease import Result
+from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
@@ -89,10 +90,19 @@
         chooser: Finds servers.
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
+        observe: Called with a server and what came of a try.
         on_lost: Called with each server that was lost with its request.
     """
 
-    __slots__ = ('chooser', 'clock', 'hedging', 'on_lost', 'rules', 'upstream')
+    __slots__ = (
+        'chooser',
+        'clock',
+        'hedging',
+        'observe',
+        'on_lost',
+        'rules',
+        'upstream',
+    )
 
     def __init__(
         self,
@@ -107,6 +117,7 @@
         self.chooser = chooser
         self.clock = clock
         self.hedging = Hedging(clock)
+        self.observe: Callable[[Fact, Event], None] = ignore
         self.on_lost: OnLost | None = None
 
     async def dispatch(
@@ -207,6 +218,7 @@
                 server.fact, flight.request, permit
             )
             report = report_of(event)
+            self.observe(server.fact, event)
             if is_lost(event) and self.on_lost is not None:
                 self.on_lost(exchange.route, flight.request, server)
             if exchange.outcome is not None:
@@ -223,6 +235,10 @@
             choice.release(report)
 
 
+def ignore(fact: Fact, event: Event) -> None:
+    """Takes no notice of what came of a try."""
+
+
 def is_lost(event: Event) -> bool:
     """Tells whether a server broke its connection."""
     return (
