Confirm servers of an expired view before new non-idempotent work

Cause: entries passed an age of 0, so the exchange never held a view to be stale. Change: an entry keeps when its agent had last heard from another host; past 5 s (the agent tells every 2 s) a non-idempotent request is confirmed with its server first, and refused when the server leaves or does not say. A lone host knows no other and never counts as stale.

--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -165,7 +165,8 @@
         if isinstance(choice, NotRun):
             return ServerRefused(choice)
         flight.choice = choice
-        return ServerChosen(choice.server)
+        age_ms = self.rules.view_age_ms(self.clock())
+        return ServerChosen(choice.server, age_ms)
 
     async def send(self, action: Send, flight: Flight) -> Event:
         """Sends the request, and again elsewhere if it takes long."""
--- a/cowslipmill/entry/feedclient.py
+++ b/cowslipmill/entry/feedclient.py
@@ -96,6 +96,7 @@
         if isinstance(message, Members):
             now = get_running_loop().time()
             self.rules.take_members(message.members, now)
+            self.rules.hear(message.age_ms, now)
 
     async def report(self, connection: ClientConnection) -> None:
         """Tells the agent what the data path noticed."""
--- a/cowslipmill/entry/rules.py
+++ b/cowslipmill/entry/rules.py
@@ -32,6 +32,8 @@
         members: Entries of the deployment, this one among them.
         placements: Homes by service.
         largest: The largest membership recently known.
+        heard_at: When the agent had last heard from another host, or None
+            before it knew any.
         stale: Services whose servers or homes are still to be set anew.
         on_refresh: Called with each service whose servers or homes changed.
     """
@@ -39,6 +41,7 @@
     __slots__ = (
         'budgets',
         'document',
+        'heard_at',
         'largest',
         'members',
         'on_refresh',
@@ -67,6 +70,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.view = View()
         self.stale: set[str] = set()
+        self.heard_at: float | None = None
 
     def put_in_force(self, document: Document) -> bool:
         """Puts a document in force unless its version is an older one.
@@ -102,6 +106,17 @@
         news = self.view.merge(facts)
         self.mark_stale({fact.service for fact in news})
 
+    def view_age_ms(self, now: float) -> int:
+        """Returns how old the view of other hosts and servers is."""
+        if self.heard_at is None:
+            return 0
+        return max(0, int((now - self.heard_at) * 1000))
+
+    def hear(self, age_ms: int, now: float) -> None:
+        """Takes in how long ago the agent had heard from another host."""
+        if len({member.host for member in self.members}) > 1:
+            self.heard_at = now - age_ms / 1000
+
     def take_members(self, members: Iterable[Member], now: float) -> None:
         """Takes in the entries of the deployment and places services anew.
 
--- a/cowslipmill/tries/advance.py
+++ b/cowslipmill/tries/advance.py
@@ -25,7 +25,7 @@
 from cowslipmill.tries.exchange import Phase
 from cowslipmill.tries.exchange import RETRY_AFTER_MS
 
-MAX_VIEW_AGE_MS = 3_000
+MAX_VIEW_AGE_MS = 5_000
 FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
 
