Look through a full key memory at most once a second

Each refusal of a full memory went through all of its records, up to 100,000, on the event loop. The purge now runs at most once a second and keeps when the first record may go, which refusals tell.

--- a/cowslipmill/resends/memory.py
+++ b/cowslipmill/resends/memory.py
@@ -12,6 +12,7 @@
 MAX_RECORDS = 100_000
 MAX_BYTES = 67_108_864
 RECORD_BYTES = 512
+PURGE_INTERVAL_S = 1.0
 MIN_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 60_000
 
@@ -68,9 +69,19 @@
         max_bytes: Bound of the bytes of all records.
         records: Records by key.
         bytes: Bytes of all records.
+        first_forget_at: When the first record may be dropped, as of the last
+            purge.
+        purge_at: When a full memory looks through its records again.
     """
 
-    __slots__ = ('bytes', 'max_bytes', 'max_records', 'records')
+    __slots__ = (
+        'bytes',
+        'first_forget_at',
+        'max_bytes',
+        'max_records',
+        'purge_at',
+        'records',
+    )
 
     def __init__(
         self, *, max_records: int = MAX_RECORDS, max_bytes: int = MAX_BYTES
@@ -80,6 +91,8 @@
         self.max_bytes = max_bytes
         self.records: dict[str, Record] = {}
         self.bytes = 0
+        self.first_forget_at = 0.0
+        self.purge_at = 0.0
 
     def admit(
         self, key: str, fingerprint: bytes, now: float, forget_at: float
@@ -106,7 +119,7 @@
         self, key: str, fingerprint: bytes, now: float, forget_at: float
     ) -> Verdict:
         """Opens a record, or refuses if there is no room."""
-        if self.is_full():
+        if self.is_full() and now >= self.purge_at:
             self.purge(now)
         if self.is_full():
             return Tell(
@@ -125,11 +138,7 @@
 
     def retry_after_ms(self, now: float) -> int:
         """Returns when the first record may be dropped, within bounds."""
-        first = min(
-            (record.forget_at for record in self.records.values()),
-            default=now,
-        )
-        wait_ms = int((first - now) * 1000)
+        wait_ms = int((self.first_forget_at - now) * 1000)
         return max(MIN_RETRY_AFTER_MS, min(wait_ms, MAX_RETRY_AFTER_MS))
 
     def settle(self, key: str, outcome: Outcome) -> None:
@@ -183,6 +192,11 @@
         ]
         for key in over:
             self.drop(key)
+        self.purge_at = now + PURGE_INTERVAL_S
+        self.first_forget_at = min(
+            (record.forget_at for record in self.records.values()),
+            default=now,
+        )
 
     def drop(self, key: str) -> None:
         """Drops one record."""
--- a/cowslipmill/resends/tests/test_memory.py
+++ b/cowslipmill/resends/tests/test_memory.py
@@ -105,6 +105,19 @@
 TestMemory.settings = settings(max_examples=100, stateful_step_count=40)
 
 
+def test_a_full_memory_says_when_to_come_back() -> None:
+    """It looks through its records once a second, not for each refusal."""
+    memory = ResendMemory(max_records=1)
+    memory.admit('a', b'', 0.0, 30.0)
+    memory.settle('a', Answered(200, (), b''))
+    for now, retry_after_ms in ((10.0, 20_000), (10.5, 19_500)):
+        expected = NotRun(Reason.KEY_MEMORY_FULL, retry_after_ms)
+        verdict = memory.admit('b', b'', now, 60.0)
+        assert_that(verdict, Equals(Tell(expected)))
+    assert_that(memory.purge_at, Equals(11.0))
+    assert_that(memory.admit('b', b'', 30.0, 60.0), Equals(Run()))
+
+
 def test_another_request_with_the_same_key_is_refused() -> None:
     """A key stands for one request, whether it runs or has ended."""
     memory = ResendMemory()
