--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -7,7 +7,9 @@
 from cowslipmill.choice.chooser import Choice
 from cowslipmill.choice.chooser import Chooser
 from cowslipmill.choice.chooser import Demand
+from cowslipmill.choice.server import Server
 from cowslipmill.document.document import Route
+from cowslipmill.entry.firstbyte import FirstByteRefused
 from cowslipmill.entry.hedging import Hedging
 from cowslipmill.entry.results import report_of
 from cowslipmill.entry.rules import Rules
@@ -15,23 +17,31 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.lease import Report
 from cowslipmill.homes.lease import Result
+from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import CALLER_HEADER
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
+from cowslipmill.outcomes.outcome import Reason
 from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
+from cowslipmill.tries.action import Confirm
 from cowslipmill.tries.action import Finish
 from cowslipmill.tries.action import Send
+from cowslipmill.tries.action import Write
+from cowslipmill.tries.advance import advance
 from cowslipmill.tries.budget import RetryBudget
+from cowslipmill.tries.event import Connected
 from cowslipmill.tries.event import DeadlinePassed
 from cowslipmill.tries.event import Event
+from cowslipmill.tries.event import ExchangeBroken
 from cowslipmill.tries.event import ServerChosen
 from cowslipmill.tries.event import ServerRefused
-from cowslipmill.tries.exchange import advance
 from cowslipmill.tries.exchange import Exchange
 
 MAX_CALLER_CHARS = 64
 
+OnLost = Callable[[Route, OutgoingRequest, Server], None]
+
 
 class Flight:
     """One request on its way.
@@ -80,9 +90,19 @@
         chooser: Finds servers.
         hedging: Second tries of slow idempotent requests.
         clock: Returns monotonic seconds.
+        observe: Called with a server and what came of a try.
+        on_lost: Called with each server that was lost with its request.
     """
 
-    __slots__ = ('chooser', 'clock', 'hedging', 'rules', 'upstream')
+    __slots__ = (
+        'chooser',
+        'clock',
+        'hedging',
+        'observe',
+        'on_lost',
+        'rules',
+        'upstream',
+    )
 
     def __init__(
         self,
@@ -97,6 +117,8 @@
         self.chooser = chooser
         self.clock = clock
         self.hedging = Hedging(clock)
+        self.observe: Callable[[Fact, Event], None] = ignore
+        self.on_lost: OnLost | None = None
 
     async def dispatch(
         self, route: Route, request: OutgoingRequest, deadline_at: float
@@ -130,11 +152,14 @@
         """Does what the exchange asks for and returns what happened."""
         if isinstance(action, Choose):
             return await self.choose(action, flight)
+        if isinstance(action, Confirm):
+            return await self.upstream.confirm(action.server.fact)
         assert isinstance(action, Send)
         return await self.send(action, flight)
 
     async def choose(self, action: Choose, flight: Flight) -> Event:
         """Returns a server, or why there is none."""
+        flight.give_back_unused()
         demand = flight.demand(action.excluded)
         choice = await self.chooser.acquire(demand)
         if isinstance(choice, NotRun):
@@ -178,14 +203,26 @@
         server = choice.server
         exchange = flight.exchange
         started_at = self.clock()
-        deadline_ms = exchange.remaining_ms(started_at)
+
+        def permit() -> int:
+            """Returns the time left if the first byte may be written now."""
+            action = advance(Connected(), exchange, self.clock())
+            if not isinstance(action, Write):
+                raise FirstByteRefused
+            return action.deadline_ms
+
         server.in_flight += 1
         report = Report(Result.CANCELLED)
         try:
             event = await self.upstream.send(
-                server.fact, flight.request, deadline_ms
+                server.fact, flight.request, permit
             )
             report = report_of(event)
+            self.observe(server.fact, event)
+            if is_lost(event) and self.on_lost is not None:
+                self.on_lost(exchange.route, flight.request, server)
+            if exchange.outcome is not None:
+                report = Report(Result.UNUSED)
             if report.result is Result.ANSWERED:
                 self.hedging.record(exchange.route, started_at)
             return event
@@ -198,6 +235,18 @@
             choice.release(report)
 
 
+def ignore(fact: Fact, event: Event) -> None:
+    """Takes no notice of what came of a try."""
+
+
+def is_lost(event: Event) -> bool:
+    """Tells whether a server broke its connection."""
+    return (
+        isinstance(event, ExchangeBroken)
+        and event.reason is Reason.CONNECTION_LOST
+    )
+
+
 def name_caller(request: OutgoingRequest) -> str:
     """Returns who sent a request: the name it gives, or its address."""
     headers = request.headers
