Leave what a program starts with out of its garbage collections

Cause: a full collection in a process with an entry's modules loaded takes 43 ms (trial, best of 7), in which its event loop stands still.

Change: programs collect once and freeze after their start.

Measured: a full collection right after the freeze takes 0.4 us (trial). Trial with a running entry on the busy machine, 3,600 calls in a closed loop each: longest collection 1.2 ms with and 2.6 ms without, 13 ms and 24 ms in all; no full collection fell into either run.

--- a/cowslipmill/runtime/program.py
+++ b/cowslipmill/runtime/program.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from errno import EADDRINUSE
 from errno import EADDRNOTAVAIL
+from gc import collect
+from gc import freeze
 from os import environ
 from pathlib import Path
 from signal import SIGINT
@@ -177,12 +179,23 @@
     service = build()
     try:
         await service.start()
+        freeze_start_up_objects()
         await wait_for_stop(service, stop)
         return FAILURE_STATUS if service.crashed else 0
     finally:
         await service.stop()
 
 
+def freeze_start_up_objects() -> None:
+    """Leaves modules and other lasting objects out of later collections.
+
+    A full collection that visits them stops the event loop for tens of
+    milliseconds.
+    """
+    collect()
+    freeze()
+
+
 async def wait_for_stop(service: Service, stop: Event) -> None:
     """Returns when a signal came or the service crashed."""
     tasks = [
