Run the programs on asyncio's own event loop, without io_uring

Ruled out: UV_USE_IO_URING=0, set before the import or in the environment at the start of the process: the descriptor is opened all the same.

Change: run_service uses asyncio's loop.

Proof: test_descriptors looks at every process of a deployment; with uvloop it fails, as it did when it was first run.

--- a/cowslipmill/entry/connection.py
+++ b/cowslipmill/entry/connection.py
@@ -81,7 +81,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Starts to wait for the first head."""
         super().connection_made(transport)
-        # uvloop's transports do not inherit from `Transport`.
+        # Transports of other event loops need not inherit from `Transport`.
         self.caller_transport = cast(Transport, transport)
         self.head_since = self.server.clock()
         self.surplus = len(self.server.connections) > MAX_CONNECTIONS
--- a/cowslipmill/runtime/program.py
+++ b/cowslipmill/runtime/program.py
@@ -11,7 +11,6 @@
 from errno import EADDRNOTAVAIL
 from gc import collect
 from gc import freeze
-from os import environ
 from pathlib import Path
 from signal import SIGINT
 from signal import SIGTERM
@@ -162,11 +161,8 @@
         CannotListen: If an address of the settings is taken.
     """
     set_up_logs(program, name)
-    # uvloop's libuv would otherwise be free to use io_uring.
-    environ['UV_USE_IO_URING'] = '0'
-    from uvloop import new_event_loop
-
-    with Runner(loop_factory=new_event_loop) as runner:
+    # Not uvloop: its event loop opens an io_uring whatever its settings.
+    with Runner() as runner:
         return runner.run(serve(build))
 
 
