--- a/cowslipmill/console/rollout.py
+++ b/cowslipmill/console/rollout.py
@@ -10,18 +10,17 @@
 from aiohttp.web import Request
 from aiohttp.web import Response
 
-from cowslipmill.console.site import CSRF_FIELD
 from cowslipmill.console.site import render
-from cowslipmill.console.site import require_csrf
-from cowslipmill.console.site import require_visitor
 from cowslipmill.console.site import SITE
 from cowslipmill.console.site import Site
+from cowslipmill.console.site import take_form
 from cowslipmill.console.source import Current
 from cowslipmill.console.source import NothingInForce
 from cowslipmill.status.collector import HostAnswer
 from cowslipmill.status.collector import HostReport
 from cowslipmill.status.collector import NoAnswer
 from cowslipmill.status.standing import find_standing
+from cowslipmill.status.standing import find_unasked
 from cowslipmill.status.standing import Standing
 
 UNKNOWN = '?'
@@ -52,10 +51,7 @@
 
 async def show_rollout(request: Request) -> Response:
     """Shows where each host stands with one version."""
-    operator = require_visitor(request)
-    form = await request.post()
-    if request.method == 'POST':
-        require_csrf(request, str(form.get(CSRF_FIELD, '')))
+    operator, form = await take_form(request)
     version, digest = read_target({**request.query, **form})
     site = request.app[SITE]
     answers = await site.source.read_hosts()
@@ -73,6 +69,7 @@
         hosts=rows,
         overtaken=bool(counts[Standing.OVERTAKEN]) or served.overtaken,
         summary=f'{served.text} {summarise(counts, len(rows))}',
+        unasked=find_unasked(answers),
     )
 
 
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -11,6 +11,7 @@
 from cowslipmill.entry.choosers import build_chooser
 from cowslipmill.entry.dispatcher import Dispatcher
 from cowslipmill.entry.feedclient import FeedClient
+from cowslipmill.entry.gate import Gate
 from cowslipmill.entry.listener import Listener
 from cowslipmill.entry.peering import Peering
 from cowslipmill.entry.rules import Rules
@@ -18,9 +19,14 @@
 from cowslipmill.entry.upstream import Upstream
 from cowslipmill.homes.messages import LEASE_MESSAGES
 from cowslipmill.hosts.member import Member
+from cowslipmill.resends.messages import RESEND_MESSAGES
 from cowslipmill.settings.settings import EntrySettings
+from cowslipmill.suspects.messages import SUSPECT_MESSAGES
 from cowslipmill.telemetry.admin import Admin
 
+PEER_MESSAGES = (*LEASE_MESSAGES, *RESEND_MESSAGES, *SUSPECT_MESSAGES)
+REFRESH_INTERVAL_S = 0.02
+
 
 class Entry(Service):
     """Receives from callers, calls one backend server, answers.
@@ -54,12 +60,15 @@
         settings = self.settings
         clock = get_running_loop().time
         session = await self.add_async_context(open_session())
-        peering = Peering(settings, LEASE_MESSAGES, self.random)
+        peering = Peering(settings, PEER_MESSAGES, self.random)
         chooser = build_chooser(
             settings, self.rules, peering, session, clock, self.random
         )
         self.rules.on_refresh.append(chooser.refresh)
         dispatcher = Dispatcher(self.rules, Upstream(session), chooser, clock)
+        gate = Gate(
+            settings, self.incarnation, self.rules, dispatcher, peering, clock
+        )
         hello = Hello(
             entry=settings.name,
             address=settings.listen,
@@ -72,11 +81,12 @@
         await self.add_runtime_dependency(
             Admin(settings.admin_listen, self.is_ready)
         )
-        await self.add_runtime_dependency(
+        self.feed_client = await self.add_runtime_dependency(
             FeedClient(settings.agent, hello, self.rules, self.random)
         )
+        dispatcher.observe = self.feed_client.observations.note
         self.listener = await self.add_runtime_dependency(
-            Listener(settings.listen, self.rules, dispatcher, clock)
+            Listener(settings.listen, self.rules, gate, clock)
         )
 
     async def stop(self) -> None:
@@ -84,10 +94,20 @@
         if self.listener is not None and not self.stopping:
             self.stopping = True
             self.listener.stopping = True
+            self.feed_client.leaving = True
             await sleep(self.settings.readiness_wait_ms / 1000)
-            await self.listener.drain(self.settings.stop_bound_ms / 1000)
+            bound_s = self.settings.stop_bound_ms / 1000
+            await self.listener.drain(bound_s)
+            await self.listener.gate.drain(bound_s)
         await super().stop()
 
+    @Service.task
+    async def refresh_rules(self) -> None:
+        """Refreshes stale services a few at a time, between requests."""
+        while not self.should_stop:
+            is_stale = self.rules.refresh_some()
+            await sleep(0 if is_stale else REFRESH_INTERVAL_S)
+
     def is_ready(self) -> bool:
         """Tells whether the entry wants new work."""
         return self.rules.document is not None and not self.stopping
--- a/cowslipmill/runtime/program.py
+++ b/cowslipmill/runtime/program.py
@@ -75,7 +75,7 @@
         print(VERSION)
         sys.exit(0)
     if len(left) > 1 and not arguments:
-        fail(f'{left[1]}: this program takes no arguments')
+        fail(f'unexpected argument {left[1]!r}')
     try:
         status = main(left)
     except (CannotListen, InvalidSettings, UsageError) as error:
