Count the tries at each service by their result

Cause: the metric stood in the list without being counted, and one for opened connections had no source; the latter is gone until it has one.

--- a/cowslipmill/entry/metrics.py
+++ b/cowslipmill/entry/metrics.py
@@ -55,10 +55,6 @@
     'Requests sent to backend servers, by service and result.',
     ('service', 'result'),
 )
-UPSTREAM_CONNECTIONS_OPENED = Counter(
-    'cowslipmill_upstream_connections_opened_total',
-    'Connections opened to backend servers.',
-)
 SUSPECT_REPORTS = Counter(
     'cowslipmill_suspect_reports_total',
     'Crash reports and clearances of suspect requests by this entry.',
@@ -103,3 +99,9 @@
 def meter_route(route: str) -> RouteMeter:
     """Returns the meter of a route; route names come from the document."""
     return RouteMeter(route)
+
+
+@cache
+def tries_of(service: str, result: str) -> Counter:
+    """Returns the counter of one result of tries at one service."""
+    return TRIES.labels(service, result)
--- a/cowslipmill/entry/upstream.py
+++ b/cowslipmill/entry/upstream.py
@@ -18,6 +18,7 @@
 from cowslipmill.entry.firstbyte import GuardedRequest
 from cowslipmill.entry.firstbyte import PERMIT
 from cowslipmill.entry.firstbyte import Permit
+from cowslipmill.entry.metrics import tries_of
 from cowslipmill.entry.signals import read_signals
 from cowslipmill.hosts.fact import Fact
 from cowslipmill.outcomes.headers import HOP_BY_HOP
@@ -40,8 +41,15 @@
 BODYLESS_STATUSES = frozenset((204, 304))
 SERVER_SIGNALS = frozenset((LOAD_HEADER.lower(), 'content-length'))
 OWN_PREFIX = 'cowslipmill-'
+CANCELLED = 'cancelled'
 CONFIRM_TIMEOUT = ClientTimeout(total=CONNECT_TIMEOUT_S)
 CONFIRM_PATH = '/healthz'
+RESULTS: dict[type[Event], str] = {
+    AnswerRead: 'answered',
+    Shed: 'shed',
+    ConnectFailed: 'connect-failed',
+    ExchangeBroken: 'broken',
+}
 NO_TOTAL_TIMEOUT = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
@@ -92,6 +100,18 @@
         closed, never reused, unless the whole answer was read; cancelling
         this call closes it too, and so tells the server.
         """
+        result = CANCELLED
+        try:
+            event = await self.make_try(fact, request, permit)
+            result = RESULTS[type(event)]
+            return event
+        finally:
+            tries_of(fact.service, result).inc()
+
+    async def make_try(
+        self, fact: Fact, request: OutgoingRequest, permit: Permit
+    ) -> Event:
+        """Sends the request and returns what came of it."""
         token = PERMIT.set(permit)
         url = URL(f'http://{fact.address}{request.target}', encoded=True)
         try:
