--- a/cowslipmill/bench/stage.py
+++ b/cowslipmill/bench/stage.py
@@ -126,7 +126,11 @@
         self.deployment = Deployment(
             self.layout, context.launcher, context.session
         )
-        self.feed = Feed(context.network.host(240, FEED_PORT))
+        self.feed = Feed(
+            context.network.host(240, FEED_PORT),
+            lambda: None,
+            lambda observed: None,
+        )
         self.sent: list[Sent] = []
 
     @property
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -18,10 +18,9 @@
 from cowslipmill.document.document import Route
 from cowslipmill.entry.connection import CallerConnection
 from cowslipmill.entry.connection import CallerServer
-from cowslipmill.entry.dispatcher import Dispatcher
+from cowslipmill.entry.gate import Gate
 from cowslipmill.entry.metrics import INTERNAL_ERRORS
-from cowslipmill.entry.metrics import REQUEST_DURATION
-from cowslipmill.entry.metrics import REQUESTS
+from cowslipmill.entry.metrics import meter_route
 from cowslipmill.entry.metrics import REQUESTS_IN_FLIGHT
 from cowslipmill.entry.requestbody import read_body
 from cowslipmill.entry.requesthead import end_to_end_headers
@@ -29,6 +28,7 @@
 from cowslipmill.entry.requesthead import read_deadline_ms
 from cowslipmill.entry.rules import Rules
 from cowslipmill.entry.upstream import OutgoingRequest
+from cowslipmill.outcomes.headers import NEXT_KEY_HEADER
 from cowslipmill.outcomes.outcome import Answered
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
@@ -59,7 +59,7 @@
 
     Attributes:
         rules: What is in force.
-        dispatcher: Serves the requests.
+        gate: Serves the requests.
         stopping: Whether callers are told to close their connections.
         cutting: Whether requests in flight are ended without their answer.
         dispatching: Tasks of the requests in flight, each with whether it
@@ -70,14 +70,14 @@
         self,
         address: str,
         rules: Rules,
-        dispatcher: Dispatcher,
+        gate: Gate,
         clock: Callable[[], float],
     ) -> None:
         """Keeps the address and the parts."""
         super().__init__()
         self.address = address
         self.rules = rules
-        self.dispatcher = dispatcher
+        self.gate = gate
         self.clock = clock
         self.stopping = False
         self.cutting = False
@@ -154,7 +154,7 @@
             if not self.dispatching:
                 self.idle.set()
         name = route.name if isinstance(route, Route) else ''
-        REQUEST_DURATION.labels(name).observe(self.clock() - arrived_at)
+        meter_route(name).duration.observe(self.clock() - arrived_at)
         return self.answer(name, outcome)
 
     async def settle(
@@ -197,11 +197,12 @@
             body=rendered.body,
         )
         answer.headers.setdefault('Server', SERVER_NAME)
+        answer.headers[NEXT_KEY_HEADER] = self.gate.next_key()
         if isinstance(outcome, Answered):
-            REQUESTS.labels(route, 'answered', '').inc()
+            meter_route(route).answered.inc()
         else:
             label = 'not-run' if isinstance(outcome, NotRun) else 'unknown'
-            REQUESTS.labels(route, label, outcome.reason.value).inc()
+            meter_route(route).count_refused(label, outcome.reason.value)
             if outcome.reason in CLOSING_REASONS:
                 answer.force_close()
         if self.stopping:
@@ -245,4 +246,4 @@
         deadline_ms = read_deadline_ms(request, route.deadline_ms)
         deadline_at = arrived_at + deadline_ms / 1000
         self.dispatching[task] = True
-        return await self.dispatcher.dispatch(route, outgoing, deadline_at)
+        return await self.gate.dispatch(route, outgoing, deadline_at)
--- a/cowslipmill/entry/upstream.py
+++ b/cowslipmill/entry/upstream.py
@@ -14,10 +14,14 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from cowslipmill.entry.firstbyte import FirstByteRefused
+from cowslipmill.entry.firstbyte import GuardedRequest
+from cowslipmill.entry.firstbyte import PERMIT
+from cowslipmill.entry.firstbyte import Permit
 from cowslipmill.entry.signals import read_signals
 from cowslipmill.hosts.fact import Fact
-from cowslipmill.outcomes.headers import DEADLINE_HEADER
 from cowslipmill.outcomes.headers import HOP_BY_HOP
+from cowslipmill.outcomes.headers import LEAVING_HEADER
 from cowslipmill.outcomes.headers import LOAD_HEADER
 from cowslipmill.outcomes.headers import NOT_STARTED_HEADER
 from cowslipmill.outcomes.outcome import Reason
@@ -25,6 +29,8 @@
 from cowslipmill.tries.event import ConnectFailed
 from cowslipmill.tries.event import Event
 from cowslipmill.tries.event import ExchangeBroken
+from cowslipmill.tries.event import ServerConfirmed
+from cowslipmill.tries.event import ServerUnconfirmed
 from cowslipmill.tries.event import Shed
 
 CONNECT_TIMEOUT_S = 0.25
@@ -34,6 +40,8 @@
 BODYLESS_STATUSES = frozenset((204, 304))
 SERVER_SIGNALS = frozenset((LOAD_HEADER.lower(), 'content-length'))
 OWN_PREFIX = 'cowslipmill-'
+CONFIRM_TIMEOUT = ClientTimeout(total=CONNECT_TIMEOUT_S)
+CONFIRM_PATH = '/healthz'
 NO_TOTAL_TIMEOUT = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
@@ -76,14 +84,15 @@
         self.session = session
 
     async def send(
-        self, fact: Fact, request: OutgoingRequest, deadline_ms: int
+        self, fact: Fact, request: OutgoingRequest, permit: Permit
     ) -> Event:
         """Makes one try.
 
-        The connection is closed, never reused, unless the whole answer was
-        read; cancelling this call closes it too, and so tells the server.
+        `permit` is called right before the first byte. The connection is
+        closed, never reused, unless the whole answer was read; cancelling
+        this call closes it too, and so tells the server.
         """
-        request.headers[DEADLINE_HEADER] = str(deadline_ms)
+        token = PERMIT.set(permit)
         url = URL(f'http://{fact.address}{request.target}', encoded=True)
         try:
             async with self.session.request(
@@ -95,12 +104,32 @@
                 timeout=NO_TOTAL_TIMEOUT,
             ) as answer:
                 return await read_answer(answer, request.max_answer_bytes)
-        except (ClientConnectorError, ConnectionTimeoutError):
+        except (
+            ClientConnectorError,
+            ConnectionTimeoutError,
+            FirstByteRefused,
+        ):
             return ConnectFailed()
         except ClientResponseError:
             return ExchangeBroken(Reason.BAD_ANSWER)
         except (ClientError, OSError):
             return ExchangeBroken(Reason.CONNECTION_LOST)
+        finally:
+            PERMIT.reset(token)
+
+    async def confirm(self, fact: Fact) -> Event:
+        """Asks a server whether it takes new work."""
+        url = URL(f'http://{fact.address}{CONFIRM_PATH}')
+        try:
+            async with self.session.get(
+                url, timeout=CONFIRM_TIMEOUT
+            ) as answer:
+                leaving = LEAVING_HEADER in answer.headers
+                if answer.status == 200 and not leaving:
+                    return ServerConfirmed()
+        except (ClientError, OSError):
+            pass
+        return ServerUnconfirmed()
 
 
 async def read_answer(answer: ClientResponse, max_bytes: int) -> Event:
@@ -188,6 +217,7 @@
         connector=connector,
         cookie_jar=DummyCookieJar(),
         auto_decompress=False,
+        request_class=GuardedRequest,
         skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
     )
     # The library resends idempotent requests by itself on a lost
