Act on a server's word that it leaves without waiting for an agent

Cause: with one agent in three frozen, the entries of their hosts kept sending new work: 38 requests in the 4 s watched, the last after 3,968 ms (leaving experiment, six hosts, machine loaded beyond its cores). Ruled out: telling over agents alone. Change: the entry that hears it takes the server out at once and tells the homes of the service directly. A server is measured once it was silent for 1.5 s rather than 5 s, as one that gets no traffic was only found leaving by its next request, 3,010 ms later in that run. Proof: each test seen to fail with the merge, the message and the incarnation check taken out.

--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -12,6 +12,8 @@
 from cowslipmill.entry.dispatcher import Dispatcher
 from cowslipmill.entry.feedclient import FeedClient
 from cowslipmill.entry.gate import Gate
+from cowslipmill.entry.leavenotice import LEAVE_MESSAGES
+from cowslipmill.entry.leavenotice import LeaveNotice
 from cowslipmill.entry.listener import Listener
 from cowslipmill.entry.peering import Peering
 from cowslipmill.entry.rules import Rules
@@ -24,7 +26,12 @@
 from cowslipmill.suspects.messages import SUSPECT_MESSAGES
 from cowslipmill.telemetry.admin import Admin
 
-PEER_MESSAGES = (*LEASE_MESSAGES, *RESEND_MESSAGES, *SUSPECT_MESSAGES)
+PEER_MESSAGES = (
+    *LEASE_MESSAGES,
+    *LEAVE_MESSAGES,
+    *RESEND_MESSAGES,
+    *SUSPECT_MESSAGES,
+)
 REFRESH_INTERVAL_S = 0.02
 
 
@@ -84,7 +91,9 @@
         self.feed_client = await self.add_runtime_dependency(
             FeedClient(settings.agent, hello, self.rules, self.random)
         )
-        dispatcher.observe = self.feed_client.observations.note
+        observations = self.feed_client.observations
+        notice = LeaveNotice(settings.name, self.rules, observations, peering)
+        dispatcher.observe = notice.note
         self.listener = await self.add_runtime_dependency(
             Listener(settings.listen, self.rules, gate, clock)
         )
--- /dev/null
+++ b/cowslipmill/entry/tests/test_leavenotice.py
@@ -0,0 +1,113 @@
+"""Tests of what an entry does when a server says that it is leaving."""
+
+from typing import Any
+
+from msgspec.structs import replace
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+
+from cowslipmill.entry.leavenotice import LeaveNotice
+from cowslipmill.entry.leavenotice import ServerLeaving
+from cowslipmill.entry.observations import Observations
+from cowslipmill.entry.rules import Rules
+from cowslipmill.hosts.fact import Fact
+from cowslipmill.hosts.fact import Role
+from cowslipmill.hosts.fact import State
+from cowslipmill.hosts.member import Member
+from cowslipmill.launch.layout import Layout
+from cowslipmill.launch.network import Network
+from cowslipmill.tries.event import AnswerRead
+from cowslipmill.tries.event import Signals
+
+DOCUMENT = Layout.example('caroni', Network(1), host_count=1).document
+SERVER = Fact(
+    name='registry-0',
+    role=Role.BACKEND_SERVER,
+    address='127.0.0.1:9000',
+    failure_domain='domain-a',
+    incarnation=3,
+    service='registry',
+)
+LEAVING_ANSWER = AnswerRead(200, (), b'', Signals(leaving=True))
+
+
+class RecordingPeering:
+    """Keeps what an entry sends."""
+
+    def __init__(self) -> None:
+        """Starts with nothing sent."""
+        self.sent: list[tuple[str, Any]] = []
+
+    def register(self, kind: type, handler: Any) -> None:
+        """Takes no messages in."""
+
+    def send(self, address: str, message: Any) -> bool:
+        """Keeps a message."""
+        self.sent.append((address, message))
+        return True
+
+
+def make_member(name: str) -> Member:
+    """Returns an entry."""
+    return Member(
+        name=name,
+        host=name,
+        failure_domain='domain-a',
+        incarnation=1,
+        peer_address=f'127.0.0.9:{len(name)}',
+    )
+
+
+@pytest.fixture
+def notice() -> LeaveNotice:
+    """Returns an entry whose service has its home elsewhere."""
+    own, home = make_member('entry'), make_member('other-home')
+    rules = Rules(own)
+    rules.put_in_force(DOCUMENT)
+    rules.take_facts([SERVER])
+    rules.take_members([home], 0.0)
+    while rules.refresh_some():
+        pass
+    peering: Any = RecordingPeering()
+    return LeaveNotice('entry', rules, Observations(), peering)
+
+
+def sent_by(notice: LeaveNotice) -> list[tuple[str, Any]]:
+    """Returns what an entry sent."""
+    peering: Any = notice.peering
+    found: list[tuple[str, Any]] = peering.sent
+    return found
+
+
+def test_entry_gives_a_leaving_server_no_more_work(
+    notice: LeaveNotice,
+) -> None:
+    """The first such answer is enough, without any agent."""
+    notice.note(SERVER, LEAVING_ANSWER)
+    while notice.rules.refresh_some():
+        pass
+    assert_that(notice.rules.pools['registry'].servers, HasLength(0))
+
+
+def test_home_and_agent_are_told_once(notice: LeaveNotice) -> None:
+    """Answers that say so again send no more messages."""
+    notice.note(SERVER, LEAVING_ANSWER)
+    notice.note(SERVER, LEAVING_ANSWER)
+    leaving = replace(SERVER, state=State.LEAVING)
+    expected = [(make_member('other-home').peer_address, leaving)]
+    found = [(address, message.fact) for address, message in sent_by(notice)]
+    assert_that(found, Equals(expected))
+    observed = notice.observations.take(1.0)
+    assert observed is not None
+    assert_that(observed.leaving, HasLength(1))
+
+
+async def test_home_takes_another_entrys_word(notice: LeaveNotice) -> None:
+    """A later incarnation is not taken out by it."""
+    leaving = ServerLeaving(replace(SERVER, state=State.LEAVING))
+    notice.rules.take_facts([replace(SERVER, incarnation=4)])
+    await notice.take(leaving, 'entry-1')
+    state = notice.rules.view.facts['registry-0'].state
+    assert_that(state, Equals(State.LIVE))
--- a/cowslipmill/measuring/prober.py
+++ b/cowslipmill/measuring/prober.py
@@ -24,7 +24,7 @@
 HEALTH_PATH = '/healthz'
 TICK_S = 0.25
 TIMEOUT_S = 1.0
-TRAFFIC_FRESH_S = 5.0
+TRAFFIC_FRESH_S = 1.5
 MAX_OPEN_PROBES = 32
 
 PROBES = Counter(
