--- a/cowslipmill/runtime/program.py
+++ b/cowslipmill/runtime/program.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from errno import EADDRINUSE
 from errno import EADDRNOTAVAIL
-from os import environ
+from gc import collect
+from gc import freeze
 from pathlib import Path
 from signal import SIGINT
 from signal import SIGTERM
@@ -160,11 +161,8 @@
         CannotListen: If an address of the settings is taken.
     """
     set_up_logs(program, name)
-    # uvloop's libuv would otherwise be free to use io_uring.
-    environ['UV_USE_IO_URING'] = '0'
-    from uvloop import new_event_loop
-
-    with Runner(loop_factory=new_event_loop) as runner:
+    # Not uvloop: its event loop opens an io_uring whatever its settings.
+    with Runner() as runner:
         return runner.run(serve(build))
 
 
@@ -177,12 +175,23 @@
     service = build()
     try:
         await service.start()
+        freeze_start_up_objects()
         await wait_for_stop(service, stop)
         return FAILURE_STATUS if service.crashed else 0
     finally:
         await service.stop()
 
 
+def freeze_start_up_objects() -> None:
+    """Leaves modules and other lasting objects out of later collections.
+
+    A full collection that visits them stops the event loop for tens of
+    milliseconds.
+    """
+    collect()
+    freeze()
+
+
 async def wait_for_stop(service: Service, stop: Event) -> None:
     """Returns when a signal came or the service crashed."""
     tasks = [
