Let the port tests take addresses that earlier tests have used

Cause: a socket that only the test itself binds met connections of earlier tests in TIME_WAIT, so three cases failed in the test's own bind when they ran after a deployment in the same worker.

Change: the test's socket may reuse the address; a program still meets a listening socket, so the cases are as strict as before.

Proof: entry, runtime, telemetry, demo and standin tests green together with two workers, in the order in which the three had failed.

--- a/cowslipmill/runtime/tests/test_programs.py
+++ b/cowslipmill/runtime/tests/test_programs.py
@@ -1,7 +1,9 @@
 """Command lines and bad input of every program, as real processes."""
 
 from pathlib import Path
+from socket import SO_REUSEADDR
 from socket import socket
+from socket import SOL_SOCKET
 from subprocess import CompletedProcess
 from subprocess import PIPE
 from subprocess import run
@@ -157,6 +159,8 @@
     address = getattr(settings[program], field)
     number, _, port = address.rpartition(':')
     with socket() as taken:
+        # Connections of earlier tests may linger on the same address.
+        taken.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         taken.bind((number, int(port)))
         taken.listen()
         ended = start(program, f'--settings={path}')
