--- a/cowslipmill/runtime/tests/test_programs.py
+++ b/cowslipmill/runtime/tests/test_programs.py
@@ -159,7 +159,7 @@
     address = getattr(settings[program], field)
     number, _, port = address.rpartition(':')
     with socket() as taken:
-        # Connections of earlier tests may linger on the same address.
+        # Connections of earlier tests may still hold the address.
         taken.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         taken.bind((number, int(port)))
         taken.listen()
