--- a/cowslipmill/agent/agent.py
+++ b/cowslipmill/agent/agent.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from asyncio import Queue
+from asyncio import sleep
 from functools import singledispatchmethod
 from logging import getLogger
 from random import Random
@@ -220,7 +221,7 @@
                 if now - self.started_at > SERVERS_GRACE_S:
                     self.feed_document()
             ticks += 1
-            await self.sleep(TICK_S)
+            await sleep(TICK_S)
 
     def tell_members(self, now: float, *, is_due: bool) -> None:
         """Tells the entries of all entries, on change and regularly."""
--- a/cowslipmill/agent/fleet.py
+++ b/cowslipmill/agent/fleet.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from asyncio import gather
 from asyncio import get_running_loop
+from asyncio import sleep
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
@@ -48,6 +49,7 @@
     Attributes:
         known: What this agent knows.
         joined: Set once peers were asked at the start.
+        changed: Set when there is something to tell.
         on_servers: Called with servers that are news.
     """
 
@@ -66,6 +68,8 @@
         self.random = random
         self.on_servers = on_servers
         self.joined = Event()
+        self.changed = Event()
+        state.outbox.on_change = self.changed.set
         codec = frame_codec(AGENT_MESSAGES, max_bytes=MAX_AGENT_MESSAGE_BYTES)
         keys = settings.peer_keys
         self.links = PeerLinks(settings.host, keys, codec, random)
@@ -185,9 +189,11 @@
     async def send_news(self) -> None:
         """Tells peers of changes as soon as there are any."""
         while not self.should_stop:
-            await self.sleep(FLUSH_S)
-            if not self.known.outbox.is_empty():
+            await self.changed.wait()
+            self.changed.clear()
+            while not self.known.outbox.is_empty():
                 self.flush()
+                await sleep(FLUSH_S)
 
     def flush(self) -> None:
         """Sends one round of the outbox."""
@@ -203,7 +209,7 @@
     async def move_on(self) -> None:
         """Declares hosts gone that were silent for too long."""
         while not self.should_stop:
-            await self.sleep(PERIOD_S / 4)
+            await sleep(PERIOD_S / 4)
             for record in self.known.detector.tick(self.clock()):
                 LOG.warning('host gone', extra={'gone': record.name})
                 self.known.outbox.add_hosts([record])
--- a/cowslipmill/agent/outbox.py
+++ b/cowslipmill/agent/outbox.py
@@ -1,5 +1,6 @@
 """Records that are still to be told to peers."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from random import Random
 
@@ -22,27 +23,32 @@
         hosts: Rounds left for each host that changed.
         servers: Rounds left for each server that changed.
         document: Rounds left for the document in force.
+        on_change: Called when there is something to tell.
     """
 
-    __slots__ = ('document', 'hosts', 'servers')
+    __slots__ = ('document', 'hosts', 'on_change', 'servers')
 
     def __init__(self) -> None:
         """Starts with nothing to tell."""
         self.hosts: dict[str, int] = {}
         self.servers: dict[str, int] = {}
         self.document = 0
+        self.on_change: Callable[[], None] = lambda: None
 
     def add_hosts(self, records: Iterable[HostRecord]) -> None:
         """Adds hosts that changed."""
         self.hosts.update((record.name, ROUNDS) for record in records)
+        self.on_change()
 
     def add_servers(self, records: Iterable[ServerRecord]) -> None:
         """Adds servers that changed."""
         self.servers.update((record.name, ROUNDS) for record in records)
+        self.on_change()
 
     def add_document(self) -> None:
         """Adds the document in force."""
         self.document = ROUNDS
+        self.on_change()
 
     def is_empty(self) -> bool:
         """Tells whether there is nothing to tell."""
--- a/cowslipmill/measuring/prober.py
+++ b/cowslipmill/measuring/prober.py
@@ -1,6 +1,7 @@
 """Measures servers about which traffic says too little."""
 
 from asyncio import get_running_loop
+from asyncio import sleep
 from asyncio import timeout
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -83,7 +84,7 @@
     async def measure(self) -> None:
         """Measures what is due, again and again."""
         while not self.should_stop:
-            await self.sleep(TICK_S)
+            await sleep(TICK_S)
             now = self.clock()
             self.update_share(now)
             if not self.leaving:
--- a/cowslipmill/platform/watcher.py
+++ b/cowslipmill/platform/watcher.py
@@ -1,6 +1,7 @@
 """Watches the platform and reports what is newer."""
 
 from asyncio import Queue
+from asyncio import sleep
 from random import Random
 
 from aiohttp import ClientSession
@@ -81,7 +82,7 @@
         while not self.should_stop:
             client = self.client
             if client is None or not self.watching:
-                await self.sleep(IDLE_PAUSE_S)
+                await sleep(IDLE_PAUSE_S)
                 continue
             turn += 1
             is_audit = turn % AUDIT_EVERY == 0
@@ -103,7 +104,7 @@
         while not self.should_stop:
             client = self.client
             if client is None or not self.watching:
-                await self.sleep(IDLE_PAUSE_S)
+                await sleep(IDLE_PAUSE_S)
                 continue
             value = await client.read_hosts(
                 after=self.revision, wait_ms=WATCH_MS
