Wait for the first document before the platform goes down

Cause: on a quiet machine the three agents knew each other before any had read version 1, so nobody could hand it to the restarted one. Change: the test waits until the document is in force at all three; what it asserts afterwards is unchanged.

--- a/cowslipmill/agent/tests/test_processes.py
+++ b/cowslipmill/agent/tests/test_processes.py
@@ -70,6 +70,7 @@
         agents.start(index)
     for index in range(3):
         await agents.wait_until(index, knows_all)
+        await agents.wait_until(index, has_version(1))
     await agents.deployment.switch('down?on=1')
     agents.deployment.launcher.send_signal('agent-1', SIGTERM)
     assert_that(agents.deployment.launcher.wait('agent-1'), Equals(0))
