Send a span for each hop to the collector

Ruled out: spans in the dispatcher's own structures (the library keeps the context across tasks, hedges among them), a span for each lease message (the span `choose` has its time). Change: spans of a caller's request, of choosing, of each try and of each request passed on, W3C trace context in and out, OTLP from the library's own thread, a stand-in collector. After: a test with real processes sees the whole tree, also over two entries; no span is made without a collector in the settings. Conclusion: done for entries; agents make no spans.

--- a/cowslipmill/entry/dispatcher.py
+++ b/cowslipmill/entry/dispatcher.py
@@ -4,6 +4,8 @@
 from asyncio import timeout_at
 from collections.abc import Callable
 
+from opentelemetry.trace import SpanKind
+
 from cowslipmill.choice.chooser import Choice
 from cowslipmill.choice.chooser import Chooser
 from cowslipmill.choice.chooser import Demand
@@ -22,6 +24,7 @@
 from cowslipmill.outcomes.outcome import NotRun
 from cowslipmill.outcomes.outcome import Outcome
 from cowslipmill.outcomes.outcome import Reason
+from cowslipmill.telemetry.traces import Traces
 from cowslipmill.tries.action import Action
 from cowslipmill.tries.action import Choose
 from cowslipmill.tries.action import Confirm
@@ -92,6 +95,7 @@
         clock: Returns monotonic seconds.
         observe: Called with a server and what came of a try.
         on_lost: Called with each server that was lost with its request.
+        traces: Makes a span of each choice and each try.
     """
 
     __slots__ = (
@@ -101,6 +105,7 @@
         'observe',
         'on_lost',
         'rules',
+        'traces',
         'upstream',
     )
 
@@ -110,8 +115,11 @@
         upstream: Upstream,
         chooser: Chooser,
         clock: Callable[[], float],
+        *,
+        traces: Traces | None = None,
     ) -> None:
         """Keeps the parts."""
+        self.traces = traces or Traces()
         self.rules = rules
         self.upstream = upstream
         self.chooser = chooser
@@ -161,7 +169,8 @@
         """Returns a server, or why there is none."""
         flight.give_back_unused()
         demand = flight.demand(action.excluded)
-        choice = await self.chooser.acquire(demand)
+        with self.traces.span('choose', SpanKind.CLIENT):
+            choice = await self.chooser.acquire(demand)
         if isinstance(choice, NotRun):
             return ServerRefused(choice)
         flight.choice = choice
@@ -215,9 +224,14 @@
         server.in_flight += 1
         report = Report(Result.CANCELLED)
         try:
-            event = await self.upstream.send(
-                server.fact, flight.request, permit
-            )
+            with self.traces.span(
+                'try', SpanKind.CLIENT, attributes={'server': server.name}
+            ) as span:
+                self.traces.inject(flight.request.headers)
+                event = await self.upstream.send(
+                    server.fact, flight.request, permit
+                )
+                span.set_attribute('result', type(event).__name__)
             report = report_of(event)
             self.observe(server.fact, event)
             if is_lost(event) and self.on_lost is not None:
--- a/cowslipmill/entry/entry.py
+++ b/cowslipmill/entry/entry.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from asyncio import sleep
+from asyncio import to_thread
 from random import Random
 from time import time_ns
 
@@ -25,6 +26,7 @@
 from cowslipmill.settings.settings import EntrySettings
 from cowslipmill.suspects.messages import SUSPECT_MESSAGES
 from cowslipmill.telemetry.admin import Admin
+from cowslipmill.telemetry.traces import Traces
 
 PEER_MESSAGES = (
     *LEASE_MESSAGES,
@@ -59,6 +61,9 @@
                 peer_address=settings.peer_listen,
             )
         )
+        self.traces = Traces.from_settings(
+            'cowslipmill-entry', settings.name, settings.traces
+        )
         self.stopping = False
         self.listener: Listener | None = None
 
@@ -72,7 +77,13 @@
             settings, self.rules, peering, session, clock, self.random
         )
         self.rules.on_refresh.append(chooser.refresh)
-        dispatcher = Dispatcher(self.rules, Upstream(session), chooser, clock)
+        dispatcher = Dispatcher(
+            self.rules,
+            Upstream(session),
+            chooser,
+            clock,
+            traces=self.traces,
+        )
         gate = Gate(
             settings, self.incarnation, self.rules, dispatcher, peering, clock
         )
@@ -95,7 +106,9 @@
         notice = LeaveNotice(settings.name, self.rules, observations, peering)
         dispatcher.observe = notice.note
         self.listener = await self.add_runtime_dependency(
-            Listener(settings.listen, self.rules, gate, clock)
+            Listener(
+                settings.listen, self.rules, gate, clock, traces=self.traces
+            )
         )
 
     async def stop(self) -> None:
@@ -109,6 +122,7 @@
             await self.listener.drain(bound_s)
             await self.listener.gate.drain(bound_s)
         await super().stop()
+        await to_thread(self.traces.close)
 
     @Service.task
     async def refresh_rules(self) -> None:
--- a/cowslipmill/entry/gate.py
+++ b/cowslipmill/entry/gate.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 from multidict import CIMultiDict
+from opentelemetry.trace import SpanKind
 
 from cowslipmill.choice.server import Server
 from cowslipmill.document.document import Route
@@ -220,6 +221,20 @@
         key: str,
     ) -> Outcome:
         """Has another entry serve a request and returns its outcome."""
+        traces = self.dispatcher.traces
+        with traces.span('pass on', SpanKind.CLIENT):
+            traces.inject(request.headers)
+            return await self.call(route, request, deadline_at, place, key)
+
+    async def call(
+        self,
+        route: Route,
+        request: OutgoingRequest,
+        deadline_at: float,
+        place: Place,
+        key: str,
+    ) -> Outcome:
+        """Makes the call to the other entry; arguments as above."""
         remaining_s = deadline_at - self.clock()
         message = PassOn(
             key=key,
@@ -244,6 +259,16 @@
     async def take_passed_on(
         self, message: PassOn, peer: str
     ) -> Passed | NotHome:
+        """Serves a request that another entry passed on."""
+        with self.dispatcher.traces.span(
+            'request passed on',
+            SpanKind.SERVER,
+            carrier=CIMultiDict(message.headers),
+            attributes={'route': message.route, 'peer': peer},
+        ):
+            return await self.serve_passed_on(message)
+
+    async def serve_passed_on(self, message: PassOn) -> Passed | NotHome:
         """Serves a request that another entry passed on."""
         if message.incarnation != self.mint.incarnation:
             return NotHome()
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -14,6 +14,7 @@
 from aiohttp.web import TCPSite
 from mode import Service
 from multidict import CIMultiDict
+from opentelemetry.trace import SpanKind
 
 from cowslipmill.document.document import Route
 from cowslipmill.entry.connection import CallerConnection
@@ -37,6 +38,7 @@
 from cowslipmill.outcomes.rendering import render
 from cowslipmill.runtime.address import split_address
 from cowslipmill.runtime.program import CannotListen
+from cowslipmill.telemetry.traces import Traces
 
 RETRY_AFTER_MS = 1_000
 SWEEP_INTERVAL_S = 1.0
@@ -72,9 +74,12 @@
         rules: Rules,
         gate: Gate,
         clock: Callable[[], float],
+        *,
+        traces: Traces | None = None,
     ) -> None:
         """Keeps the address and the parts."""
         super().__init__()
+        self.traces = traces or Traces()
         self.address = address
         self.rules = rules
         self.gate = gate
@@ -146,14 +151,21 @@
         REQUESTS_IN_FLIGHT.inc()
         try:
             route = self.find_route(request, connection)
-            outcome = await self.settle(request, route, arrived_at, task)
+            name = route.name if isinstance(route, Route) else ''
+            with self.traces.span(
+                'request',
+                SpanKind.SERVER,
+                carrier=request.headers,
+                attributes={'route': name},
+            ) as span:
+                outcome = await self.settle(request, route, arrived_at, task)
+                span.set_attribute('outcome', outcome.label)
         finally:
             connection.end_request()
             REQUESTS_IN_FLIGHT.dec()
             del self.dispatching[task]
             if not self.dispatching:
                 self.idle.set()
-        name = route.name if isinstance(route, Route) else ''
         meter_route(name).duration.observe(self.clock() - arrived_at)
         return self.answer(name, outcome)
 
@@ -201,8 +213,9 @@
         if isinstance(outcome, Answered):
             meter_route(route).answered.inc()
         else:
-            label = 'not-run' if isinstance(outcome, NotRun) else 'unknown'
-            meter_route(route).count_refused(label, outcome.reason.value)
+            meter_route(route).count_refused(
+                outcome.label, outcome.reason.value
+            )
             if outcome.reason in CLOSING_REASONS:
                 answer.force_close()
         if self.stopping:
--- a/cowslipmill/outcomes/outcome.py
+++ b/cowslipmill/outcomes/outcome.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from typing import ClassVar
 
 
 class Reason(Enum):
@@ -41,12 +42,15 @@
     """The server's whole answer to this request.
 
     Attributes:
+        label: The outcome's name in headers, metrics and spans.
         status: The server's status code.
         headers: End-to-end headers in the order received.
         body: The whole body.
         server: Name of the backend server, or '' for a replayed answer.
     """
 
+    label: ClassVar[str] = 'answered'
+
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -58,11 +62,14 @@
     """Proof that no server ran the request.
 
     Attributes:
+        label: The outcome's name in headers, metrics and spans.
         reason: Why it was not run.
         retry_after_ms: When the caller may send it again.
         detail: One sentence for the caller.
     """
 
+    label: ClassVar[str] = 'not-run'
+
     reason: Reason
     retry_after_ms: int
     detail: str = ''
@@ -73,11 +80,14 @@
     """A server may have run the request and no whole answer came back.
 
     Attributes:
+        label: The outcome's name in headers, metrics and spans.
         reason: What cut the exchange.
         retry_after_ms: When the caller may ask again.
         detail: One sentence for the caller.
     """
 
+    label: ClassVar[str] = 'unknown'
+
     reason: Reason
     retry_after_ms: int = field(default=1_000)
     detail: str = ''
--- a/cowslipmill/outcomes/rendering.py
+++ b/cowslipmill/outcomes/rendering.py
@@ -59,7 +59,7 @@
 @render.register
 def render_answered(outcome: Answered) -> Rendered:
     """Passes the server's answer on, marked as answered."""
-    headers = [*outcome.headers, (OUTCOME_HEADER, 'answered')]
+    headers = [*outcome.headers, (OUTCOME_HEADER, outcome.label)]
     return Rendered(outcome.status, headers, outcome.body)
 
 
@@ -71,7 +71,7 @@
     if outcome.reason in FINAL_REASONS:
         retry_after_ms = 0
     return render_problem(
-        status, 'not-run', outcome.reason, retry_after_ms, outcome.detail
+        status, outcome.label, outcome.reason, retry_after_ms, outcome.detail
     )
 
 
@@ -81,7 +81,7 @@
     status = UNKNOWN_STATUS.get(outcome.reason, DEFAULT_UNKNOWN_STATUS)
     return render_problem(
         status,
-        'unknown',
+        outcome.label,
         outcome.reason,
         outcome.retry_after_ms,
         outcome.detail,
--- a/cowslipmill/standin/main.py
+++ b/cowslipmill/standin/main.py
@@ -6,6 +6,7 @@
 from cowslipmill.runtime.program import load_program_settings
 from cowslipmill.runtime.program import run_program
 from cowslipmill.runtime.program import run_service
+from cowslipmill.standin.collector import StandinCollector
 from cowslipmill.standin.occupancy import Occupancy
 from cowslipmill.standin.passthrough import StandinPassthrough
 from cowslipmill.standin.platform import StandinPlatform
@@ -27,6 +28,10 @@
             await self.add_runtime_dependency(
                 StandinPlatform(self.settings.platform)
             )
+        if self.settings.collector is not None:
+            await self.add_runtime_dependency(
+                StandinCollector(self.settings.collector)
+            )
         occupancy = Occupancy()
         passthrough = self.settings.passthrough
         if passthrough is not None:
