--- a/cowslipmill/standin/collector.py
+++ b/cowslipmill/standin/collector.py
@@ -9,14 +9,14 @@
 from mode import Service
 from msgspec import json
 from msgspec import Struct
-from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (  # noqa: H301
-    ExportTraceServiceRequest,
-)
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 
 from cowslipmill.runtime.address import split_address
 from cowslipmill.runtime.program import CannotListen
 from cowslipmill.telemetry.traces import TRACES_PATH
 
+ExportTraceServiceRequest = trace_service_pb2.ExportTraceServiceRequest
+
 SPANS_PATH = '/standin/spans'
 
 
--- a/cowslipmill/telemetry/traces.py
+++ b/cowslipmill/telemetry/traces.py
@@ -9,9 +9,7 @@
 from collections.abc import MutableMapping
 from contextlib import contextmanager
 
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import (  # noqa: H301
-    OTLPSpanExporter,
-)
+from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.resources import SERVICE_INSTANCE_ID
 from opentelemetry.sdk.resources import SERVICE_NAME
@@ -23,9 +21,7 @@
 from opentelemetry.trace import Span
 from opentelemetry.trace import SpanKind
 from opentelemetry.trace import Tracer
-from opentelemetry.trace.propagation.tracecontext import (  # noqa: H301
-    TraceContextTextMapPropagator,
-)
+from opentelemetry.trace.propagation import tracecontext
 
 from cowslipmill.settings.settings import TraceSettings
 
@@ -34,7 +30,7 @@
 EXPORT_INTERVAL_MS = 500
 MAX_QUEUED_SPANS = 4_096
 
-PROPAGATOR = TraceContextTextMapPropagator()
+PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
 
 class Traces:
@@ -73,7 +69,7 @@
                 {SERVICE_NAME: program, SERVICE_INSTANCE_ID: process}
             ),
         )
-        exporter = OTLPSpanExporter(
+        exporter = trace_exporter.OTLPSpanExporter(
             endpoint=settings.collector + TRACES_PATH,
             timeout=EXPORT_TIMEOUT_S,
         )
