--- a/cowslipmill/bench/main.py
+++ b/cowslipmill/bench/main.py
@@ -1,10 +1,9 @@
 """The program `cowslipmill-bench`."""
 
-from asyncio import Runner
+from asyncio import run as run_loop
 from importlib import import_module
 from logging import getLogger
 from logging import WARNING
-from os import environ
 from pathlib import Path
 from pkgutil import iter_modules
 import sys
@@ -77,18 +76,11 @@
     if values.seconds is not None and values.seconds <= 0:
         raise UsageError('--seconds: must be more than 0')
     getLogger().setLevel(WARNING)
-    environ['UV_USE_IO_URING'] = '0'
-    from uvloop import new_event_loop
-
-    with Runner(loop_factory=new_event_loop) as runner:
-        result = runner.run(
-            run_experiment(
-                values.experiment,
-                values.deployment,
-                values.seconds,
-                values.seed,
-            )
+    result = run_loop(
+        run_experiment(
+            values.experiment, values.deployment, values.seconds, values.seed
         )
+    )
     title = f'{values.experiment}, {values.deployment}'
     if values.plot is not None:
         plot_latency(Path(values.plot), title, result.recorders)
