Give a service several homes only from six servers each

Ruled out: a larger share for small homes, which would allow half of the servers to be set aside. Change: the number of homes goes by servers, not by slots; six for each home.

--- a/cowslipmill/homes/placement.py
+++ b/cowslipmill/homes/placement.py
@@ -10,17 +10,19 @@
 from cowslipmill.hosts.fact import State
 from cowslipmill.hosts.member import Member
 
-MIN_SLOTS_PER_HOME = 12
+MIN_SERVERS_PER_HOME = 6
 
 
-def count_homes(slot_count: int, domain_count: int) -> int:
+def count_homes(server_count: int, domain_count: int) -> int:
     """Returns how many homes a service gets.
 
+    A home compares its servers with each other, so it needs a few.
+
     Args:
-        slot_count: Slots of all its servers.
+        server_count: Servers of the service.
         domain_count: Failure domains that have an entry.
     """
-    worthwhile = slot_count // MIN_SLOTS_PER_HOME
+    worthwhile = server_count // MIN_SERVERS_PER_HOME
     return max(1, min(worthwhile, domain_count))
 
 
@@ -112,8 +114,6 @@
         service: str,
         members: Sequence[Member],
         servers: Sequence[Fact],
-        *,
-        slots_per_server: int,
     ) -> 'Placement':
         """Places one service over the entries of a view."""
         domains = {
@@ -121,6 +121,5 @@
             for member in members
             if member.state is State.LIVE
         }
-        slot_count = slots_per_server * len(servers)
-        count = count_homes(slot_count, len(domains))
+        count = count_homes(len(servers), len(domains))
         return cls(choose_homes(service, members, count), servers)
