--- /dev/null
+++ b/cowslipmill/entry/tests/conftest.py
@@ -0,0 +1,142 @@
+"""A listener on a free port and a caller that drives it byte by byte."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest_asyncio
+
+from cowslipmill.document.document import Document
+from cowslipmill.document.document import Route
+from cowslipmill.document.document import Service
+from cowslipmill.document.document import Team
+from cowslipmill.entry.listener import Listener
+from cowslipmill.entry.rules import Rules
+from cowslipmill.entry.upstream import OutgoingRequest
+from cowslipmill.hosts.member import Member
+from cowslipmill.outcomes.outcome import Answered
+from cowslipmill.outcomes.outcome import Outcome
+
+BOUND_S = 10.0
+END = b'\r\n\r\n'
+GET = b'GET /desks/7 HTTP/1.1\r\nHost: a\r\n'
+POST = b'POST /desks/7 HTTP/1.1\r\nHost: a\r\n'
+PLAIN = Answered(200, (('X-From', 'server'),), b'whole', 'desk-0')
+
+
+class FakeDispatcher:
+    """Answers every request alike and keeps what it was given.
+
+    Attributes:
+        outcome: The outcome, or an error to raise.
+        requests: Requests received.
+        held: Requests wait for this to be set.
+        cancelled: Set when a request was cancelled.
+    """
+
+    def __init__(self) -> None:
+        """Answers at once."""
+        self.outcome: Outcome | Exception = PLAIN
+        self.requests: list[OutgoingRequest] = []
+        self.held = asyncio.Event()
+        self.held.set()
+        self.cancelled = asyncio.Event()
+
+    def next_key(self) -> str:
+        """Returns a key for the caller."""
+        return 'next'
+
+    async def dispatch(
+        self, route: Route, request: OutgoingRequest, deadline_at: float
+    ) -> Outcome:
+        """Serves one request."""
+        self.requests.append(request)
+        try:
+            await self.held.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+class Caller:
+    """Opens raw connections to a listener."""
+
+    def __init__(self, listener: Listener, dispatcher: FakeDispatcher) -> None:
+        """Keeps the parts."""
+        self.listener = listener
+        self.dispatcher = dispatcher
+
+    async def open(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connects."""
+        host, port = self.listener.runner.addresses[0]
+        return await asyncio.open_connection(host, port)
+
+    async def send(self, request: bytes) -> bytes:
+        """Sends bytes and returns what came until the connection closed."""
+        reader, writer = await self.open()
+        writer.write(request)
+        async with asyncio.timeout(BOUND_S):
+            received = await reader.read()
+        writer.close()
+        return received
+
+
+@pytest_asyncio.fixture
+async def caller() -> AsyncIterator[Caller]:
+    """Starts a listener on a free port."""
+    rules = Rules(
+        Member(
+            name='entry-0',
+            host='host-0',
+            failure_domain='domain-a',
+            incarnation=1,
+            peer_address='127.0.0.1:1',
+        )
+    )
+    rules.put_in_force(
+        Document(
+            version=1,
+            deployment='letters',
+            teams=(Team(name='a'),),
+            services=(Service(name='desk', team='a', slots_per_server=2),),
+            routes=(
+                Route(
+                    name='see-desk',
+                    team='a',
+                    service='desk',
+                    methods=('GET', 'HEAD', 'POST'),
+                    path='/desks/{id}',
+                    idempotent=True,
+                    max_request_bytes=100,
+                ),
+            ),
+        )
+    )
+    dispatcher = FakeDispatcher()
+    loop = asyncio.get_running_loop()
+    fake: Any = dispatcher
+    listener = Listener('127.0.0.1:0', rules, fake, loop.time)
+    await listener.start()
+    yield Caller(listener, dispatcher)
+    await listener.stop()
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    """Returns what came until the connection was closed or reset."""
+    async with asyncio.timeout(BOUND_S):
+        try:
+            return await reader.read()
+        except ConnectionError:
+            return b''
+
+
+async def wait_for_requests(caller: Caller, count: int) -> None:
+    """Returns when the dispatcher has been given so many requests."""
+    async with asyncio.timeout(BOUND_S):
+        while len(caller.dispatcher.requests) < count:
+            await asyncio.sleep(0.01)
--- a/cowslipmill/entry/tests/test_listener.py
+++ b/cowslipmill/entry/tests/test_listener.py
@@ -1,11 +1,8 @@
-"""The caller's side, driven byte by byte."""
+"""The caller's side: framing, sizes, answers and errors."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from typing import Any
 
 import pytest
-import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
@@ -14,128 +11,13 @@
 from testtools.matchers import Not
 from testtools.matchers import StartsWith
 
-from cowslipmill.document.document import Document
-from cowslipmill.document.document import Route
-from cowslipmill.document.document import Service
-from cowslipmill.document.document import Team
-from cowslipmill.entry import connection as connection_module
-from cowslipmill.entry import requestbody
-from cowslipmill.entry.connection import CallerConnection
-from cowslipmill.entry.connection import Stall
-from cowslipmill.entry.listener import Listener
-from cowslipmill.entry.rules import Rules
-from cowslipmill.entry.upstream import OutgoingRequest
-from cowslipmill.hosts.member import Member
+from cowslipmill.entry.tests.conftest import BOUND_S
+from cowslipmill.entry.tests.conftest import Caller
+from cowslipmill.entry.tests.conftest import END
+from cowslipmill.entry.tests.conftest import GET
+from cowslipmill.entry.tests.conftest import POST
+from cowslipmill.entry.tests.conftest import wait_for_requests
 from cowslipmill.outcomes.outcome import Answered
-from cowslipmill.outcomes.outcome import Outcome
-
-BOUND_S = 10.0
-END = b'\r\n\r\n'
-GET = b'GET /desks/7 HTTP/1.1\r\nHost: a\r\n'
-POST = b'POST /desks/7 HTTP/1.1\r\nHost: a\r\n'
-PLAIN = Answered(200, (('X-From', 'server'),), b'whole', 'desk-0')
-
-
-class FakeDispatcher:
-    """Answers every request alike and keeps what it was given.
-
-    Attributes:
-        outcome: The outcome, or an error to raise.
-        requests: Requests received.
-        held: Requests wait for this to be set.
-        cancelled: Set when a request was cancelled.
-    """
-
-    def __init__(self) -> None:
-        """Answers at once."""
-        self.outcome: Outcome | Exception = PLAIN
-        self.requests: list[OutgoingRequest] = []
-        self.held = asyncio.Event()
-        self.held.set()
-        self.cancelled = asyncio.Event()
-
-    def next_key(self) -> str:
-        """Returns a key for the caller."""
-        return 'next'
-
-    async def dispatch(
-        self, route: Route, request: OutgoingRequest, deadline_at: float
-    ) -> Outcome:
-        """Serves one request."""
-        self.requests.append(request)
-        try:
-            await self.held.wait()
-        except asyncio.CancelledError:
-            self.cancelled.set()
-            raise
-        if isinstance(self.outcome, Exception):
-            raise self.outcome
-        return self.outcome
-
-
-class Caller:
-    """Opens raw connections to a listener."""
-
-    def __init__(self, listener: Listener, dispatcher: FakeDispatcher) -> None:
-        """Keeps the parts."""
-        self.listener = listener
-        self.dispatcher = dispatcher
-
-    async def open(
-        self,
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Connects."""
-        host, port = self.listener.runner.addresses[0]
-        return await asyncio.open_connection(host, port)
-
-    async def send(self, request: bytes) -> bytes:
-        """Sends bytes and returns what came until the connection closed."""
-        reader, writer = await self.open()
-        writer.write(request)
-        async with asyncio.timeout(BOUND_S):
-            received = await reader.read()
-        writer.close()
-        return received
-
-
-@pytest_asyncio.fixture
-async def caller() -> AsyncIterator[Caller]:
-    """Starts a listener on a free port."""
-    rules = Rules(
-        Member(
-            name='entry-0',
-            host='host-0',
-            failure_domain='domain-a',
-            incarnation=1,
-            peer_address='127.0.0.1:1',
-        )
-    )
-    rules.put_in_force(
-        Document(
-            version=1,
-            deployment='letters',
-            teams=(Team(name='a'),),
-            services=(Service(name='desk', team='a', slots_per_server=2),),
-            routes=(
-                Route(
-                    name='see-desk',
-                    team='a',
-                    service='desk',
-                    methods=('GET', 'HEAD', 'POST'),
-                    path='/desks/{id}',
-                    idempotent=True,
-                    max_request_bytes=100,
-                ),
-            ),
-        )
-    )
-    dispatcher = FakeDispatcher()
-    loop = asyncio.get_running_loop()
-    fake: Any = dispatcher
-    listener = Listener('127.0.0.1:0', rules, fake, loop.time)
-    await listener.start()
-    yield Caller(listener, dispatcher)
-    await listener.stop()
 
 
 async def test_a_request_goes_on_with_its_end_to_end_headers(
@@ -338,115 +220,3 @@
     writer.close()
     async with asyncio.timeout(BOUND_S):
         await caller.dispatcher.cancelled.wait()
-
-
-async def test_a_body_that_stalls_is_refused(
-    caller: Caller, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """A caller gets a bounded time for its body."""
-    monkeypatch.setattr(requestbody, 'BODY_TIMEOUT_S', 0.05)
-    received = await caller.send(POST + b'Content-Length: 3' + END + b'a')
-    assert_that(received, StartsWith(b'HTTP/1.1 408 '))
-    assert_that(received, Contains(b'not-run; reason=slow-caller'))
-
-
-@pytest.mark.parametrize('start', [b'', b'GET /desks/7 HT', GET])
-async def test_a_head_that_stalls_is_cut(caller: Caller, start: bytes) -> None:
-    """A connection without a whole head is closed after the bound."""
-    reader, writer = await caller.open()
-    writer.write(start)
-    while not caller.listener.server.connections:
-        await asyncio.sleep(0.01)
-    bound = connection_module.HEAD_TIMEOUT_S
-    now = asyncio.get_running_loop().time()
-    caller.listener.server.cut_stalled(now + bound - 1)
-    assert_that(reader.at_eof(), Equals(False))
-    caller.listener.server.cut_stalled(now + bound + 1)
-    assert_that(await read_to_end(reader), Equals(b''))
-    writer.close()
-
-
-async def test_a_kept_connection_may_rest(caller: Caller) -> None:
-    """Only a head that has begun is timed after the first request."""
-    reader, writer = await caller.open()
-    writer.write(GET + b'\r\n')
-    async with asyncio.timeout(BOUND_S):
-        await reader.readuntil(b'whole')
-    now = asyncio.get_running_loop().time()
-    bound = connection_module.HEAD_TIMEOUT_S
-    caller.listener.server.cut_stalled(now + bound + 1)
-    writer.write(GET + b'\r\n')
-    async with asyncio.timeout(BOUND_S):
-        await reader.readuntil(b'whole')
-    writer.close()
-
-
-async def test_a_caller_that_takes_no_bytes_is_cut(caller: Caller) -> None:
-    """Answers are kept for a bounded time."""
-    connection = CallerConnection(caller.listener.server)
-    bound = connection_module.SEND_TIMEOUT_S
-    stalls = [
-        connection.find_stall(10, 1.0),
-        connection.find_stall(0, 2.0),
-        connection.find_stall(10, 3.0),
-        connection.find_stall(10, 3.0 + bound),
-        connection.find_stall(10, 3.1 + bound),
-    ]
-    expected = [None, None, None, None, Stall.SLOW_READER]
-    assert_that(stalls, Equals(expected))
-
-
-async def test_a_connection_too_many_is_refused(
-    caller: Caller, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Its requests are refused, and when to come back is told."""
-    monkeypatch.setattr(connection_module, 'MAX_CONNECTIONS', 0)
-    received = await caller.send(GET + b'Connection: close' + END)
-    assert_that(received, Contains(b'not-run; reason=overloaded'))
-    assert_that(received, Contains(b'Retry-After: 1\r\n'))
-
-
-async def test_a_stop_answers_what_is_in_flight(caller: Caller) -> None:
-    """A request that finishes within the bound gets its answer."""
-    caller.dispatcher.held.clear()
-    sent = asyncio.create_task(caller.send(GET + b'\r\n'))
-    await wait_for_requests(caller, 1)
-    drained = asyncio.create_task(caller.listener.drain(BOUND_S))
-    while not caller.listener.stopping:
-        await asyncio.sleep(0)
-    caller.dispatcher.held.set()
-    await drained
-    received = await sent
-    assert_that(received, StartsWith(b'HTTP/1.1 200 OK\r\n'))
-    assert_that(received, Contains(b'Connection: close\r\n'))
-
-
-async def test_a_stop_tells_what_it_cannot_finish(caller: Caller) -> None:
-    """A request at a frozen server ends as unknown at the bound."""
-    caller.dispatcher.held.clear()
-    sent = asyncio.create_task(caller.send(GET + b'\r\n'))
-    slow = POST + b'Content-Length: 3' + END
-    unsent = asyncio.create_task(caller.send(slow))
-    await wait_for_requests(caller, 1)
-    while len(caller.listener.dispatching) < 2:
-        await asyncio.sleep(0.01)
-    await caller.listener.drain(0.0)
-    assert_that(await sent, Contains(b'unknown; reason=stopping'))
-    assert_that(await unsent, Contains(b'not-run; reason=stopping'))
-    assert_that(caller.dispatcher.cancelled.is_set(), Equals(True))
-
-
-async def read_to_end(reader: asyncio.StreamReader) -> bytes:
-    """Returns what came until the connection was closed or reset."""
-    async with asyncio.timeout(BOUND_S):
-        try:
-            return await reader.read()
-        except ConnectionError:
-            return b''
-
-
-async def wait_for_requests(caller: Caller, count: int) -> None:
-    """Returns when the dispatcher has been given so many requests."""
-    async with asyncio.timeout(BOUND_S):
-        while len(caller.dispatcher.requests) < count:
-            await asyncio.sleep(0.01)
--- /dev/null
+++ b/cowslipmill/entry/tests/test_stalls.py
@@ -0,0 +1,117 @@
+"""The caller's side: slow callers, bounds and planned stops."""
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import StartsWith
+
+from cowslipmill.entry import connection as connection_module
+from cowslipmill.entry import requestbody
+from cowslipmill.entry.connection import CallerConnection
+from cowslipmill.entry.connection import Stall
+from cowslipmill.entry.tests.conftest import BOUND_S
+from cowslipmill.entry.tests.conftest import Caller
+from cowslipmill.entry.tests.conftest import END
+from cowslipmill.entry.tests.conftest import GET
+from cowslipmill.entry.tests.conftest import POST
+from cowslipmill.entry.tests.conftest import read_to_end
+from cowslipmill.entry.tests.conftest import wait_for_requests
+
+
+async def test_a_body_that_stalls_is_refused(
+    caller: Caller, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller gets a bounded time for its body."""
+    monkeypatch.setattr(requestbody, 'BODY_TIMEOUT_S', 0.05)
+    received = await caller.send(POST + b'Content-Length: 3' + END + b'a')
+    assert_that(received, StartsWith(b'HTTP/1.1 408 '))
+    assert_that(received, Contains(b'not-run; reason=slow-caller'))
+
+
+@pytest.mark.parametrize('start', [b'', b'GET /desks/7 HT', GET])
+async def test_a_head_that_stalls_is_cut(caller: Caller, start: bytes) -> None:
+    """A connection without a whole head is closed after the bound."""
+    reader, writer = await caller.open()
+    writer.write(start)
+    while not caller.listener.server.connections:
+        await asyncio.sleep(0.01)
+    bound = connection_module.HEAD_TIMEOUT_S
+    now = asyncio.get_running_loop().time()
+    caller.listener.server.cut_stalled(now + bound - 1)
+    assert_that(reader.at_eof(), Equals(False))
+    caller.listener.server.cut_stalled(now + bound + 1)
+    assert_that(await read_to_end(reader), Equals(b''))
+    writer.close()
+
+
+async def test_a_kept_connection_may_rest(caller: Caller) -> None:
+    """Only a head that has begun is timed after the first request."""
+    reader, writer = await caller.open()
+    writer.write(GET + b'\r\n')
+    async with asyncio.timeout(BOUND_S):
+        await reader.readuntil(b'whole')
+    now = asyncio.get_running_loop().time()
+    bound = connection_module.HEAD_TIMEOUT_S
+    caller.listener.server.cut_stalled(now + bound + 1)
+    writer.write(GET + b'\r\n')
+    async with asyncio.timeout(BOUND_S):
+        await reader.readuntil(b'whole')
+    writer.close()
+
+
+async def test_a_caller_that_takes_no_bytes_is_cut(caller: Caller) -> None:
+    """Answers are kept for a bounded time."""
+    connection = CallerConnection(caller.listener.server)
+    bound = connection_module.SEND_TIMEOUT_S
+    stalls = [
+        connection.find_stall(10, 1.0),
+        connection.find_stall(0, 2.0),
+        connection.find_stall(10, 3.0),
+        connection.find_stall(10, 3.0 + bound),
+        connection.find_stall(10, 3.1 + bound),
+    ]
+    expected = [None, None, None, None, Stall.SLOW_READER]
+    assert_that(stalls, Equals(expected))
+
+
+async def test_a_connection_too_many_is_refused(
+    caller: Caller, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its requests are refused, and when to come back is told."""
+    monkeypatch.setattr(connection_module, 'MAX_CONNECTIONS', 0)
+    received = await caller.send(GET + b'Connection: close' + END)
+    assert_that(received, Contains(b'not-run; reason=overloaded'))
+    assert_that(received, Contains(b'Retry-After: 1\r\n'))
+
+
+async def test_a_stop_answers_what_is_in_flight(caller: Caller) -> None:
+    """A request that finishes within the bound gets its answer."""
+    caller.dispatcher.held.clear()
+    sent = asyncio.create_task(caller.send(GET + b'\r\n'))
+    await wait_for_requests(caller, 1)
+    drained = asyncio.create_task(caller.listener.drain(BOUND_S))
+    while not caller.listener.stopping:
+        await asyncio.sleep(0)
+    caller.dispatcher.held.set()
+    await drained
+    received = await sent
+    assert_that(received, StartsWith(b'HTTP/1.1 200 OK\r\n'))
+    assert_that(received, Contains(b'Connection: close\r\n'))
+
+
+async def test_a_stop_tells_what_it_cannot_finish(caller: Caller) -> None:
+    """A request at a frozen server ends as unknown at the bound."""
+    caller.dispatcher.held.clear()
+    sent = asyncio.create_task(caller.send(GET + b'\r\n'))
+    slow = POST + b'Content-Length: 3' + END
+    unsent = asyncio.create_task(caller.send(slow))
+    await wait_for_requests(caller, 1)
+    while len(caller.listener.dispatching) < 2:
+        await asyncio.sleep(0.01)
+    await caller.listener.drain(0.0)
+    assert_that(await sent, Contains(b'unknown; reason=stopping'))
+    assert_that(await unsent, Contains(b'not-run; reason=stopping'))
+    assert_that(caller.dispatcher.cancelled.is_set(), Equals(True))
