Tell an outage from servers that leave without notice; drop late heartbeats

Cause: found by reading. Five entries that vanished within 2 s counted as an outage of the store, so their servers were used for 2.2 s, past the 2.0 s for which a leaving server goes on; a large deployment loses five at once in an ordinary reduction. A heartbeat of an earlier incarnation that the store took late replaced the record of its successor, its state included. Ruled out: the store's own state as evidence, since entries are also taken away while it answers. Change: only a service that loses half of its entries at once, three at least, gets 2.2 s; else 0.6 of the time that the settings name. A record with an earlier start is ignored unless the entry had vanished.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -80,7 +80,7 @@
         clock: Callable[[], float] = get_running_loop().time
         self.clock = clock
         random = Random()
-        self.view = View()
+        self.view = View(leaving_s=settings.leaving_s)
         self.reader = StoreReader(settings.store, store, self.view, clock)
         self.turn = ReadTurn()
         own = Member(
--- a/cowslipmill/view/tests/test_view.py
+++ b/cowslipmill/view/tests/test_view.py
@@ -70,6 +70,43 @@
     assert_that(names(view), Equals(['server-0']))
 
 
+def test_servers_that_leave_together_without_notice_are_dropped_in_time(
+    view: View,
+) -> None:
+    records = [make_record(number) for number in range(20)]
+    view.apply([ServerSet(record, 1) for record in records], 0.0)
+    view.apply([ServerRemoved(r.name, 2) for r in records[:6]], 0.0)
+    view.drop_lapsed(1.3)
+    assert_that(len(names(view)), Equals(14))
+
+
+def test_servers_that_leave_for_longer_are_used_for_longer() -> None:
+    view = View(leaving_s=5.0)
+    view.apply([ServerSet(make_record(), 1)], 0.0)
+    view.apply([ServerRemoved('server-1', 2)], 0.0)
+    view.drop_lapsed(2.9)
+    assert_that(names(view), Equals(['server-1']))
+    assert_that(view.drop_lapsed(3.1), Equals(['server-1']))
+
+
+def test_a_late_heartbeat_of_an_earlier_incarnation_changes_nothing(
+    view: View,
+) -> None:
+    view.apply([ServerSet(make_record(started_ms=2), 1)], 0.0)
+    late = ServerSet(make_record(started_ms=1, leaving=True), 2)
+    assert_that(view.apply([late], 0.0), Equals([]))
+    assert_that(names(view), Equals(['server-1']))
+    own = ServerSet(make_record(started_ms=2, leaving=True), 3)
+    assert_that(view.apply([own], 0.0), Equals([own]))
+
+
+def test_an_entry_that_vanished_comes_back_with_any_start(view: View) -> None:
+    view.apply([ServerSet(make_record(started_ms=2), 1)], 0.0)
+    view.apply([ServerRemoved('server-1', 2)], 0.0)
+    back = ServerSet(make_record(started_ms=1), 3)
+    assert_that(view.apply([back], 0.0), Equals([back]))
+
+
 def test_a_heartbeat_alone_is_no_change(view: View) -> None:
     record = make_record()
     view.apply([ServerSet(record, 1)], 0.0)
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -17,13 +17,16 @@
 from cowslipmill.view.events import ServerSet
 from cowslipmill.view.server import ServerRecord
 
-# How long a server whose entry vanished without notice serves on if nothing
-# better is free; below the time for which a leaving server goes on.
-LAPSE_S = 1.2
-# The same when many entries vanish at once, since the store was away: they
-# are back within 2 s or gone.
+# Time for which a leaving server goes on serving, unless settings say more.
+LEAVING_S = 2.0
+# Share of that time for which a server whose entry vanished without notice is
+# used if nothing better is free.
+LAPSE_SHARE = 0.6
+# The same when most of a service's entries vanish at once, since the store
+# was away: they are back within 2 s or gone.
 MASS_LAPSE_S = 2.2
-MASS_LAPSE_COUNT = 5
+MASS_LAPSE_SHARE = 0.5
+MASS_LAPSE_COUNT = 3
 MASS_LAPSE_WINDOW_S = 2.0
 MAX_REMOVED = 4_096
 
@@ -68,6 +71,7 @@
     """The newest configuration and the servers.
 
     Attributes:
+        leaving_s: How long a leaving server goes on serving.
         configuration: The highest version seen, or None.
         servers: Servers by name, also those whose entry just vanished.
         removed: Revision at which a server's entry vanished, by name.
@@ -76,8 +80,9 @@
         changes: Grows with each change that matters to requests.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, leaving_s: float = LEAVING_S) -> None:
         """Starts without knowledge."""
+        self.leaving_s = leaving_s
         self.configuration: Configuration | None = None
         self.servers: dict[str, KnownServer] = {}
         self.removed: dict[str, int] = {}
@@ -124,7 +129,11 @@
 
     @take.register
     def take_server(self, event: ServerSet, now: float) -> bool:
-        """Keeps a newer record."""
+        """Keeps a newer record.
+
+        A heartbeat of an earlier incarnation may be stored after the first
+        one of its successor, which goes on sending its own.
+        """
         record = event.record
         if self.removed.get(record.name, 0) >= event.revision:
             return False
@@ -134,9 +143,12 @@
             return True
         if event.revision <= known.revision:
             return False
-        same = replace(known.record, warm_up_s=record.warm_up_s) == record
-        changed = known.lapsed_at is not None or not same
         known.revision = event.revision
+        lapsed = known.lapsed_at is not None
+        if not lapsed and record.started_ms < known.record.started_ms:
+            return False
+        same = replace(known.record, warm_up_s=record.warm_up_s) == record
+        changed = lapsed or not same
         known.lapsed_at = None
         if changed:
             known.record = record
@@ -188,26 +200,50 @@
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Drops servers whose entries didn't come back in time."""
-        lapsed = [
-            known.lapsed_at
-            for known in self.servers.values()
+        lapsed = {
+            name: known.lapsed_at
+            for name, known in self.servers.items()
             if known.lapsed_at is not None
-        ]
+        }
         if not lapsed:
             return []
-        recent = sum(at > now - MASS_LAPSE_WINDOW_S for at in lapsed)
-        bound = MASS_LAPSE_S if recent >= MASS_LAPSE_COUNT else LAPSE_S
-        gone = [
-            name
-            for name, known in self.servers.items()
-            if known.lapsed_at is not None and now - known.lapsed_at > bound
-        ]
+        emptied = self.emptied_services(now)
+        gone = []
+        for name, lapsed_at in lapsed.items():
+            bound_s = LAPSE_SHARE * self.leaving_s
+            if self.servers[name].record.service in emptied:
+                bound_s = MASS_LAPSE_S
+            if now - lapsed_at > bound_s:
+                gone.append(name)
         for name in gone:
             del self.servers[name]
         if gone:
             self.changes += 1
         return gone
 
+    def emptied_services(self, now: float) -> set[str]:
+        """Returns the services most of whose entries have just vanished.
+
+        Servers that leave do so a few at a time, so that this tells an
+        outage of the store from a planned change.
+        """
+        known: dict[str, int] = {}
+        vanished: dict[str, int] = {}
+        for entry in self.servers.values():
+            service = entry.record.service
+            known[service] = known.get(service, 0) + 1
+            lapsed_at = entry.lapsed_at
+            if lapsed_at is not None and (
+                lapsed_at > now - MASS_LAPSE_WINDOW_S
+            ):
+                vanished[service] = vanished.get(service, 0) + 1
+        return {
+            service
+            for service, count in vanished.items()
+            if count >= MASS_LAPSE_COUNT
+            and count >= MASS_LAPSE_SHARE * known[service]
+        }
+
     def snapshot(self, now: float) -> Snapshot:
         """Returns the view for another host."""
         return Snapshot(
