End a stopped host before the kill although other hosts are frozen

A host that is busy to its end leaves 0.4 s for the exit, and the links to other hosts were closed with a handshake that waits 0.2 to 0.5 s for each host that doesn't answer. Ruled out: the drain itself, which ended by the clock in every log. Change: connections between hosts are aborted once everything has been answered. Before: test_frozen_hosts_do_not_hold_a_stop_beyond_the_kill[30.0] ended with -9. After: 0, with and without a request under way.

--- a/cowslipmill/fleet/rpc.py
+++ b/cowslipmill/fleet/rpc.py
@@ -49,6 +49,11 @@
         await self.add_runtime_dependency(self.links)
         await self.add_runtime_dependency(self.server)
 
+    def abort(self) -> None:
+        """Ends every connection, since a silent host would hold up an end."""
+        self.links.abort()
+        self.server.abort()
+
     def register(self, kind: type, handler: Handler) -> None:
         """Sets what takes in one type of message."""
         self.handlers[kind] = handler
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -321,4 +321,5 @@
         for listener in self.listeners:
             listener.close()
         self.callers.close_idle()
+        self.rpc.abort()
         LOG.info('stopped', extra={'busy': self.callers.busy})
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -52,6 +52,7 @@
     Attributes:
         address: The peer's address.
         connected: Set while the connection is open.
+        connection: The open connection, or None.
         calls: Calls that wait for their reply, by number.
     """
 
@@ -72,6 +73,7 @@
         self.random = random
         self.queue: Queue[bytes] = Queue(MAX_QUEUED_MESSAGES)
         self.connected = Event()
+        self.connection: ClientConnection | None = None
         self.failures = 0
         self.calls: dict[int, Future[Any]] = {}
         self.last_call = 0
@@ -104,6 +106,7 @@
     async def exchange(self, connection: ClientConnection) -> None:
         """Sends what is queued and takes in replies."""
         sender = create_task(self.send_queued(connection))
+        self.connection = connection
         self.connected.set()
         self.failures = 0
         try:
@@ -111,10 +114,16 @@
                 self.take_replies(raw)
         finally:
             self.connected.clear()
+            self.connection = None
             sender.cancel()
             self.drop_queued()
             self.fail_calls('connection closed')
 
+    def abort(self) -> None:
+        """Ends the connection without waiting for the peer's consent."""
+        if self.connection is not None:
+            self.connection.transport.abort()
+
     async def send_queued(self, connection: ClientConnection) -> None:
         """Sends one queued message after the other."""
         try:
--- a/cowslipmill/peers/links.py
+++ b/cowslipmill/peers/links.py
@@ -80,6 +80,11 @@
             return Unreachable('too many links')
         return await link.call(message, timeout_s)
 
+    def abort(self) -> None:
+        """Ends every connection without waiting for the peers."""
+        for link in self.links.values():
+            link.abort()
+
     async def forget(self, address: str) -> None:
         """Closes the link to a peer that is gone."""
         link = self.links.pop(address, None)
--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -48,6 +48,7 @@
         codec: Codec of the frames.
         handler: Takes a message and the peer's name and returns the reply.
         max_messages_per_second: A peer that sends more is cut off.
+        connections: Open connections.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.codec = codec
         self.handler = handler
         self.max_messages_per_second = max_messages_per_second
+        self.connections: set[ServerConnection] = set()
 
     async def on_start(self) -> None:
         """Listens.
@@ -91,6 +93,7 @@
 
     async def serve_peer(self, connection: ServerConnection) -> None:
         """Takes in one peer's messages until it leaves or is cut off."""
+        self.connections.add(connection)
         try:
             name = await accept_peer(connection, self.keys)
             await self.receive(connection, name)
@@ -99,6 +102,13 @@
             LOG.warning('peer refused', extra={'reason': str(error)})
         except ConnectionClosed:
             return
+        finally:
+            self.connections.discard(connection)
+
+    def abort(self) -> None:
+        """Ends every connection without waiting for the peers."""
+        for connection in self.connections:
+            connection.transport.abort()
 
     async def receive(self, connection: ServerConnection, name: str) -> None:
         """Takes in messages after the handshake."""
