Count questions, connections and calls; let a ticket hold its need

Change: the counts are metrics, with histograms of the set-up of a connection and of the exchange; a ticket holds the need that it was made for. No decision changes.

--- a/cowslipmill/forwarding/dialect.py
+++ b/cowslipmill/forwarding/dialect.py
@@ -55,9 +55,6 @@
     def returned(self, answer: Answer) -> Answer:
         """Returns a server's answer as the caller gets it."""
 
-    def load_of(self, answer: Answer) -> Load | None:
-        """Returns the load that came along with an answer."""
-
     def health_request(self, server: ServerRecord, path: str) -> Request:
         """Returns the question for a server's health."""
 
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from prometheus_client import Counter
+from prometheus_client import Histogram
+
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.dialect import Verdict
 from cowslipmill.forwarding.flight import Flight
@@ -22,6 +25,23 @@
 # Set-up of a connection takes about 3 ms to another failure domain.
 CONNECT_TIMEOUT_S = 0.2
 
+OPENED = Counter(
+    'cowslipmill_host_server_connections_total',
+    'Connections to servers by how their set-up ended.',
+    ('result',),
+)
+CONNECT = Histogram(
+    'cowslipmill_host_connect_duration_seconds',
+    'Set-up of a connection to a server.',
+    buckets=(0.001, 0.002, 0.004, 0.008, 0.02, 0.05, 0.1, 0.2),
+)
+EXCHANGE = Histogram(
+    'cowslipmill_host_exchange_duration_seconds',
+    'Time from sending a request to a server to how that ended.',
+    ('result',),
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0),
+)
+
 RESULTS = {
     Verdict.SUCCESS: Result.ANSWERED,
     Verdict.FAILURE: Result.FAILED,
@@ -85,7 +105,6 @@
         view: What is in force.
         lender: Gets the leases back.
         pool: Idle connections.
-        opened: Connections opened.
     """
 
     def __init__(
@@ -101,7 +120,6 @@
         self.dialect = dialect
         self.clock = clock
         self.pool = ConnectionPool()
-        self.opened = 0
 
     def find(self, grant: Grant) -> ServerRecord | None:
         """Returns the server of a grant if it still takes work."""
@@ -141,6 +159,7 @@
             raise
         finally:
             duration_s = self.clock() - started_at
+            EXCHANGE.labels(result.name.lower()).observe(duration_s)
             self.lender.release(flight.service, grant, result, duration_s)
 
     async def connect(self, grant: Grant) -> ServerConnection:
@@ -155,10 +174,17 @@
         kept = self.pool.take(server.address, self.clock())
         if kept is not None:
             return kept
-        self.opened += 1
-        return await open_connection(
-            server.address, CONNECT_TIMEOUT_S, self.dialect.identity_header
-        )
+        began_at = self.clock()
+        try:
+            connection = await open_connection(
+                server.address, CONNECT_TIMEOUT_S, self.dialect.identity_header
+            )
+        except ConnectFailed:
+            OPENED.labels('failed').inc()
+            raise
+        OPENED.labels('opened').inc()
+        CONNECT.observe(self.clock() - began_at)
+        return connection
 
     async def exchange(
         self,
--- a/cowslipmill/lending/home.py
+++ b/cowslipmill/lending/home.py
@@ -192,7 +192,10 @@
         waiting: list[Ticket] = []
         # Work that is late already yields to work that isn't.
         self.queue.sort(
-            key=lambda ticket: (now >= ticket.objective_at, rank_of(ticket))
+            key=lambda ticket: (
+                now >= ticket.need.objective_at,
+                rank_of(ticket),
+            )
         )
         for ticket in self.queue:
             if ticket.asking:
@@ -215,11 +218,11 @@
         """Returns the decision about one ticket; None lets it wait."""
         work_s = self.work.typical_s(ticket)
         best, finish_s = self.find_best(ticket, work_s, now)
-        if ticket.better_than_s is not None:
-            if best is None or finish_s > ticket.better_than_s:
+        if ticket.need.better_than_s is not None:
+            if best is None or finish_s > ticket.need.better_than_s:
                 return self.refuse(ticket, 'no better server', now, random)
             return self.grant(ticket, best, finish_s, now)
-        left_s = ticket.objective_at - now
+        left_s = ticket.need.objective_at - now
         if best is not None and finish_s <= left_s:
             if not is_passing_slow(best, now):
                 return self.grant(ticket, best, finish_s, now)
@@ -232,7 +235,7 @@
         spare_s = left_s - WORK_MARGIN * work_s
         if best is not None:
             if is_passing_slow(best, now):
-                spare_s = ticket.deadline_at - now - FAST_WAIT_S - work_s
+                spare_s = ticket.need.deadline_at - now - FAST_WAIT_S - work_s
             if spare_s > 0.0:
                 return None
             return self.grant(ticket, best, finish_s, now)
@@ -252,7 +255,7 @@
             return False
         if ticket.waits:
             return wait_s <= spare_s + PATIENCE * (
-                ticket.objective_at - ticket.arrived_at
+                ticket.need.objective_at - ticket.arrived_at
             )
         ticket.waits = wait_s <= ADMITTED_SHARE * spare_s
         return ticket.waits
@@ -263,7 +266,7 @@
 
     def remote_cost_s(self, ticket: Ticket) -> float:
         """Returns the delay that a server elsewhere has to save."""
-        return REMOTE_S + REMOTE_S_PER_KB * ticket.kilobytes
+        return REMOTE_S + REMOTE_S_PER_KB * ticket.need.kilobytes
 
     def end_asking(self, ticket: Ticket, now: float) -> None:
         """Takes in that no other failure domain had a better server."""
@@ -278,7 +281,10 @@
         best_s = float('inf')
         best_rank = float('inf')
         for server in self.servers.values():
-            if server.name in ticket.excluded or now < server.blocked_until:
+            if (
+                server.name in ticket.need.excluded
+                or now < server.blocked_until
+            ):
                 continue
             if server.silent or server.free(now) <= 0:
                 continue
@@ -305,8 +311,8 @@
         self, ticket: Ticket, server: ServerSlots, finish_s: float, now: float
     ) -> Grant:
         """Gives a ticket its slot."""
-        expires_at = ticket.deadline_at + EXPIRY_SLACK_S
-        server.leases[ticket.key] = Lease(now, expires_at, ticket.route)
+        expires_at = ticket.need.deadline_at + EXPIRY_SLACK_S
+        server.leases[ticket.key] = Lease(now, expires_at, ticket.need.route)
         load = server.load
         return Grant(
             key=ticket.key,
@@ -360,4 +366,4 @@
 
 def rank_of(ticket: Ticket) -> tuple[int, float]:
     """Returns the order of a ticket among those that wait."""
-    return ticket.priority, ticket.arrived_at
+    return ticket.need.priority, ticket.arrived_at
--- a/cowslipmill/lending/lender.py
+++ b/cowslipmill/lending/lender.py
@@ -36,8 +36,6 @@
         rpc: Calls between hosts.
         prober: Asks servers for their load.
         borrower: Asks other hosts' homes.
-        lent: Grants of this host's homes.
-        alone: Requests for which no home was in reach.
     """
 
     def __init__(
@@ -60,8 +58,6 @@
         self.desks: dict[tuple[str, str], Desk] = {}
         self.synced: dict[tuple[str, str], int] = {}
         self.numbers = count(roster.own.started_ms * 1000)
-        self.lent = 0
-        self.alone = 0
         rpc.register(AskLease, self.take_ask)
         rpc.register(CancelLease, self.take_cancel)
         rpc.register(Report, self.take_report)
@@ -79,8 +75,8 @@
             desk = Desk(
                 Home(failure_domain),
                 self.prober,
-                lambda ticket, limit: self.ask_others(service, ticket, limit),
-                lambda ticket, grant: self.give_back(service, grant),
+                self.ask_others,
+                self.give_back,
                 self.clock,
                 self.random,
             )
@@ -120,8 +116,6 @@
             reply = await self.borrower.borrow(key, need, home, domain)
             if reply is not None:
                 return reply
-        else:
-            self.alone += 1
         return await self.lend(key, need, domain)
 
     def choose_domain(self, service: str) -> str:
@@ -139,36 +133,15 @@
         self, key: TicketKey, need: Need, failure_domain: str
     ) -> Grant | Refusal:
         """Has this host's own home decide."""
-        ticket = Ticket(
-            key,
-            need.route,
-            need.priority,
-            self.clock(),
-            need.objective_at,
-            need.deadline_at,
-            kilobytes=need.kilobytes,
-            excluded=need.excluded,
-            better_than_s=need.better_than_s,
-        )
-        reply = await self.desk(need.service, failure_domain).lend(ticket)
-        self.lent += 1
-        return reply
+        ticket = Ticket(key, need, self.clock())
+        return await self.desk(need.service, failure_domain).lend(ticket)
 
     async def ask_others(
-        self, service: str, ticket: Ticket, better_than_s: float
+        self, ticket: Ticket, better_than_s: float
     ) -> Grant | None:
         """Asks the homes of other failure domains for a better server."""
-        need = Need(
-            service,
-            ticket.route,
-            ticket.priority,
-            ticket.objective_at,
-            ticket.deadline_at,
-            kilobytes=ticket.kilobytes,
-            excluded=ticket.excluded,
-            better_than_s=better_than_s,
-        )
-        for domain in self.other_domains(service):
+        need = ticket.need.with_limit(better_than_s)
+        for domain in self.other_domains(need.service):
             reply = await self.ask_domain(ticket.key, need, domain)
             if isinstance(reply, Grant):
                 return reply
@@ -200,9 +173,9 @@
             return await self.lend(key, need, failure_domain)
         return await self.borrower.ask(key, need, order[0], failure_domain)
 
-    def give_back(self, service: str, grant: Grant) -> None:
+    def give_back(self, ticket: Ticket, grant: Grant) -> None:
         """Gives back a lease that wasn't used."""
-        self.release(service, grant, Result.UNUSED, 0.0)
+        self.release(ticket.need.service, grant, Result.UNUSED, 0.0)
 
     def release(
         self,
--- a/cowslipmill/lending/need.py
+++ b/cowslipmill/lending/need.py
@@ -6,7 +6,7 @@
 
     Attributes:
         service: The service's name.
-        route: The route's name.
+        route: The route's name; requests of a route take similar time.
         priority: Rank, 0 the most urgent.
         objective_at: When an answer loses most of its value.
         deadline_at: When the caller stops waiting.
@@ -47,3 +47,16 @@
         self.kilobytes = kilobytes
         self.excluded = excluded
         self.better_than_s = better_than_s
+
+    def with_limit(self, better_than_s: float) -> 'Need':
+        """Returns the same need of a server that finishes within a time."""
+        return Need(
+            self.service,
+            self.route,
+            self.priority,
+            self.objective_at,
+            self.deadline_at,
+            kilobytes=self.kilobytes,
+            excluded=self.excluded,
+            better_than_s=better_than_s,
+        )
--- a/cowslipmill/lending/prober.py
+++ b/cowslipmill/lending/prober.py
@@ -3,6 +3,8 @@
 from asyncio import get_running_loop
 from collections.abc import Callable
 
+from prometheus_client import Counter
+
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
@@ -16,12 +18,17 @@
 ANSWER_TIMEOUT_S = 0.15
 CONNECT_TIMEOUT_S = 0.15
 
+QUESTIONS = Counter(
+    'cowslipmill_host_load_questions_total',
+    'Questions for the load of servers.',
+    ('result',),
+)
+
 
 class Prober:
     """Keeps one connection to each server for questions.
 
     Attributes:
-        asked: Questions sent.
         connections: Connections by the server's address.
     """
 
@@ -29,7 +36,6 @@
         """Starts without connections."""
         self.dialect = dialect
         self.clock = clock
-        self.asked = 0
         self.connections: dict[tuple[str, int], ServerConnection] = {}
         self.asking: set[tuple[str, int]] = set()
 
@@ -43,19 +49,21 @@
         try:
             connection = await self.connect(address)
             request = self.dialect.health_request(server.record, path)
-            self.asked += 1
             until = get_running_loop().time() + ANSWER_TIMEOUT_S
             asked_at = self.clock()
             answer = await connection.exchange(request, until=until)
         except (ConnectFailed, ExchangeFailed, TimeoutError):
+            QUESTIONS.labels('unanswered').inc()
             server.note_silence(self.clock())
             return
         finally:
             self.asking.discard(address)
         load = self.dialect.read_health(answer, server.record)
         if load is None:
+            QUESTIONS.labels('other-server').inc()
             server.block(self.clock())
             return
+        QUESTIONS.labels('answered').inc()
         server.note_load(load, asked_at, self.clock())
 
     async def connect(self, address: tuple[str, int]) -> ServerConnection:
--- a/cowslipmill/lending/tests/conftest.py
+++ b/cowslipmill/lending/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from cowslipmill.lending.home import Home
 from cowslipmill.lending.load import Load
+from cowslipmill.lending.need import Need
 from cowslipmill.lending.slots import ServerSlots
 from cowslipmill.lending.ticket import Ticket
 from cowslipmill.view.server import ServerRecord
@@ -51,17 +52,17 @@
     excluded: tuple[str, ...] = (),
 ) -> Ticket:
     """Returns a ticket that arrives now."""
-    return Ticket(
-        ('host-1', number),
+    need = Need(
+        'registry',
         'read',
         priority,
-        now,
         now + objective_s,
         now + deadline_s,
         kilobytes=kilobytes,
         better_than_s=better_than_s,
         excluded=excluded,
     )
+    return Ticket(('host-1', number), need, now)
 
 
 def tell_load(
--- a/cowslipmill/lending/ticket.py
+++ b/cowslipmill/lending/ticket.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from cowslipmill.lending.need import Need
+
 TicketKey = tuple[str, int]
 
 
@@ -25,15 +27,8 @@
 
     Attributes:
         key: Name of the host and number of the ticket there.
-        route: The route's name; requests of a route take similar time.
-        priority: Rank, 0 the most urgent.
+        need: What the request needs.
         arrived_at: Monotonic seconds at the home.
-        objective_at: When an answer loses most of its value.
-        deadline_at: When the caller stops waiting.
-        kilobytes: Size of request and answer.
-        excluded: Servers that were tried before.
-        better_than_s: Only a server that finishes within this is wanted;
-            None for any.
         next_ask_at: When other failure domains may be asked next.
         asking: Whether other failure domains are being asked.
         waits: Whether it was admitted to wait for a slot.
@@ -42,41 +37,17 @@
     __slots__ = (
         'arrived_at',
         'asking',
-        'better_than_s',
-        'deadline_at',
-        'excluded',
         'key',
-        'kilobytes',
+        'need',
         'next_ask_at',
-        'objective_at',
-        'priority',
-        'route',
         'waits',
     )
 
-    def __init__(
-        self,
-        key: TicketKey,
-        route: str,
-        priority: int,
-        arrived_at: float,
-        objective_at: float,
-        deadline_at: float,
-        *,
-        kilobytes: float = 0.0,
-        excluded: tuple[str, ...] = (),
-        better_than_s: float | None = None,
-    ) -> None:
+    def __init__(self, key: TicketKey, need: Need, arrived_at: float) -> None:
         """Keeps the parts."""
         self.key = key
-        self.route = route
-        self.priority = priority
+        self.need = need
         self.arrived_at = arrived_at
-        self.objective_at = objective_at
-        self.deadline_at = deadline_at
-        self.kilobytes = kilobytes
-        self.excluded = excluded
-        self.better_than_s = better_than_s
         self.next_ask_at = 0.0
         self.asking = False
         self.waits = False
--- a/cowslipmill/lending/worktime.py
+++ b/cowslipmill/lending/worktime.py
@@ -28,10 +28,10 @@
 
     def typical_s(self, ticket: Ticket) -> float:
         """Returns the time that a ticket's work takes."""
-        known = self.medians.get(ticket.route)
+        known = self.medians.get(ticket.need.route)
         if known is not None:
             return known
-        objective_s = ticket.objective_at - ticket.arrived_at
+        objective_s = ticket.need.objective_at - ticket.arrived_at
         return max(0.001, ASSUMED_SHARE * objective_s)
 
     def record(self, route: str, duration_s: float) -> None:
--- a/cowslipmill/platform/dialect.py
+++ b/cowslipmill/platform/dialect.py
@@ -89,10 +89,6 @@
         ]
         return Answer(answer.status, headers, answer.body)
 
-    def load_of(self, answer: Answer) -> Load | None:
-        """Returns the load that came along with an answer."""
-        return read_load(answer.header(LOAD))
-
     def health_request(self, server: ServerRecord, path: str) -> Request:
         """Returns the question for a server's health."""
         host, port = server.address
--- a/cowslipmill/view/reader.py
+++ b/cowslipmill/view/reader.py
@@ -5,6 +5,8 @@
 from logging import getLogger
 from typing import Protocol
 
+from prometheus_client import Counter
+
 from cowslipmill.http1.message import Answer
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import ConnectFailed
@@ -30,6 +32,12 @@
 # goes silent and another host has to read.
 WATCH_S = 0.8
 
+STORE_CALLS = Counter(
+    'cowslipmill_host_store_calls_total',
+    'Calls to the store by how they ended.',
+    ('result',),
+)
+
 
 class StoreCalls(Protocol):
     """Builds the store's requests and reads its answers."""
@@ -54,7 +62,6 @@
 
     Attributes:
         view: The view.
-        calls: Calls made.
         cursor: Revision after which changes are asked for; 0 to read all.
         reachable: Whether the last call succeeded.
     """
@@ -72,7 +79,6 @@
         self.view = view
         self.clock = clock
         self.connection: ServerConnection | None = None
-        self.calls = 0
         self.cursor = 0
         self.reachable: bool | None = None
 
@@ -146,7 +152,6 @@
             request: The call.
             wait_s: How long the store may wait before it answers.
         """
-        self.calls += 1
         loop = get_running_loop()
         connection = self.connection
         try:
@@ -156,13 +161,16 @@
                 )
                 self.connection = connection
             until = loop.time() + wait_s + CALL_TIMEOUT_S
-            return await connection.exchange(request, until=until)
+            answer = await connection.exchange(request, until=until)
         except (ConnectFailed, ExchangeFailed, TimeoutError) as error:
             # A connection that lost an answer never gives another.
             if connection is not None:
                 connection.close()
             self.connection = None
+            STORE_CALLS.labels('failed').inc()
             return StoreUnavailable(f'{type(error).__name__}: {error}')
+        STORE_CALLS.labels('answered').inc()
+        return answer
 
     def note(
         self, failure: StoreUnavailable | None
