Hand on a ready failure, and no promise that a server did not make

A failure that a server had answered was thrown away when the retry after it ran out of time (504) or when its copy was lost later (502). An answer without the server's mark, or a marked 408, 429 or 503 without the server's word that it did not run, went to the caller, who reads a promise in it. A booking that was shed after its caller had left was sent to the next server. Change: the best of all results counts; unmarked answers prove nothing; a caller who has left starts no further send.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -142,7 +142,7 @@
         def leave() -> None:
             """Ends what the caller no longer waits for."""
             flight.caller_left = True
-            if route.idempotent or not flight.attempts.sends:
+            if route.idempotent or not flight.attempts.may_have_run:
                 task.cancel()
 
         connection.on_leave = leave
@@ -206,6 +206,8 @@
             async with timeout_at(flight.give_up_at + LATE_ANSWER_S):
                 return await self.serve(flight)
         except TimeoutError:
+            if flight.attempts.failure is not None:
+                return self.deliver(flight, flight.attempts.failure)
             if flight.attempts.may_have_run:
                 return self.fail(flight, 'no answer in time', 504)
             return self.refuse(flight, 'no slot in time', FAILED_RETRY_S)
@@ -226,7 +228,7 @@
                 return self.refuse(flight, grant.reason, grant.retry_after_s)
             exchanged = await self.send(flight, grant)
             following = self.judge(flight, exchanged)
-            if following is Next.AGAIN:
+            if following is Next.AGAIN and not flight.caller_left:
                 self.journal.again(flight, exchanged)
                 continue
             if following is Next.DELIVER and isinstance(exchanged, Sent):
@@ -351,15 +353,19 @@
 
 
 async def first_good(tasks: 'set[Task[Exchanged]]') -> Exchanged:
-    """Returns the first success, or the last of the other results."""
+    """Returns the first success, else an answer, else any other result."""
     pending = set(tasks)
-    while True:
+    fallback: Exchanged | None = None
+    while pending:
         done, pending = await wait(pending, return_when=FIRST_COMPLETED)
-        results = [task.result() for task in done]
-        for result in results:
-            if isinstance(result, Sent) and (
-                result.verdict is Verdict.SUCCESS
-            ):
+        for result in (task.result() for task in done):
+            if not isinstance(result, Sent):
+                fallback = fallback or result
+            elif result.verdict is Verdict.SUCCESS:
                 return result
-        if not pending:
-            return results[0]
+            elif not isinstance(fallback, Sent) or (
+                result.verdict is Verdict.FAILURE
+            ):
+                fallback = result
+    assert fallback is not None
+    return fallback
--- a/cowslipmill/host/tests/test_requests.py
+++ b/cowslipmill/host/tests/test_requests.py
@@ -123,6 +123,31 @@
     assert_that(answer.header(b'x-response-signature'), Equals(b'q1.ok'))
 
 
+async def test_a_failure_is_handed_on_if_nothing_better_comes_in_time(
+    fleet: Fleet,
+) -> None:
+    set_fault(fleet, 'one', Fault.ERROR)
+    set_fault(fleet, 'two', Fault.LOST)
+    answers = [await fleet.ask(f'/read/{n}') for n in range(2)]
+    assert_that({a.status for a in answers}, Equals({500}))
+
+
+async def test_a_booking_that_was_shed_is_not_sent_again_without_its_caller(
+    fleet: Fleet,
+) -> None:
+    set_faults(fleet, Fault.SHED_LATE)
+    task = create_task(fleet.ask('/book/a'))
+    await fleet.until(lambda: any(b.shedding for b in fleet.backends.values()))
+    task.cancel()
+    await sleep(0.1)
+    set_faults(fleet, Fault.NONE)
+    await fleet.until(
+        lambda: not any(b.shedding for b in fleet.backends.values())
+    )
+    await sleep(0.2)
+    assert_that(fleet.runs(), Equals(0))
+
+
 async def test_a_request_ends_when_its_route_says(fleet: Fleet) -> None:
     set_faults(fleet, Fault.LOST)
     started_at = get_running_loop().time()
--- a/cowslipmill/platform/dialect.py
+++ b/cowslipmill/platform/dialect.py
@@ -22,6 +22,8 @@
 from cowslipmill.view.server import ServerRecord
 
 BAD_REQUEST_STATUS = 400
+# Callers take these as a promise that the request has not run.
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 # Headers that concern this host and a server, not the caller.
 NOT_RETURNED = frozenset((LOAD, SERVER_NAME))
 NOT_FORWARDED = frozenset((DEADLINE, EXPECTED_SERVER))
@@ -64,7 +66,8 @@
         """Returns what an answer says about the request.
 
         Only an answer that bears the server's own mark is proof of what
-        happened; a success without it is not the server's.
+        happened. A status that tells callers that the request has not run
+        is handed on only with the server's word for it.
         """
         if answer.status == MISDIRECTED_STATUS:
             return Verdict.WRONG_SERVER
@@ -72,11 +75,11 @@
             if answer.status == BAD_REQUEST_STATUS:
                 return Verdict.NOT_ACCEPTED
             return Verdict.SHED
-        if answer.header(b'content-encoding'):
+        if not answer.header(SIGNATURE) or answer.header(b'content-encoding'):
             return Verdict.UNPROVEN
         if 200 <= answer.status < 300:
-            if answer.header(SIGNATURE):
-                return Verdict.SUCCESS
+            return Verdict.SUCCESS
+        if answer.status in NOT_RUN_STATUSES:
             return Verdict.UNPROVEN
         return Verdict.FAILURE
 
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -14,6 +14,7 @@
 
 SILENCE_S = 30.0
 LATE_S = 0.05
+SHED_LATE_S = 0.3
 
 
 class Fault(Enum):
@@ -33,6 +34,7 @@
     CRASH = 'crash'
     ERROR = 'error'
     SHED = 'shed'
+    SHED_LATE = 'shed-late'
     SILENT = 'silent'
     OTHER_ID = 'other-id'
     UNSIGNED = 'unsigned'
@@ -84,6 +86,7 @@
         runs: Requests that it began, in their order.
         health_asked: Questions for its health.
         running: Requests at work.
+        shedding: Requests that are about to be shed.
     """
 
     def __init__(self, name: str, *, slots: int = 2) -> None:
@@ -97,6 +100,7 @@
         self.runs: list[Run] = []
         self.health_asked = 0
         self.running = 0
+        self.shedding = 0
         self.address = ('127.0.0.1', 0)
         self.server: Server | None = None
         self.writers: set[StreamWriter] = set()
@@ -155,6 +159,12 @@
         if headers.get('x-expect-instance') != self.name:
             self.write(writer, 421, f'x-instance-id: {self.name}\r\n')
             return True
+        if self.fault is Fault.SHED_LATE:
+            self.shedding += 1
+            await sleep(SHED_LATE_S)
+            self.shedding -= 1
+            self.write(writer, 503, 'x-not-executed: 1\r\n')
+            return True
         if self.fault is Fault.SHED or self.running >= self.slots:
             if self.hangs_when_full and self.fault is not Fault.SHED:
                 await sleep(SILENCE_S)
