Learn as a fleet how long connections to a service may rest

The reset also counted against the server and put the request under suspicion of crashing it, and a question for its load that met one set the server aside. Change: the first such loss bounds the rest of all connections to that service to half of what led to it, for 20 s, at every host. A question is asked again on a new connection.

--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -169,7 +169,21 @@
     relay: bool = False
 
 
-Spread = Members | Leaving | News | Crash | Cleared
+class IdleLoss(Struct, frozen=True, array_like=True, tag='idle-loss'):
+    """A server had dropped an idle connection without notice.
+
+    Attributes:
+        service: The server's service.
+        rested_s: How long the connection had rested.
+        relay: Whether the receiver tells its failure domain.
+    """
+
+    service: str
+    rested_s: float
+    relay: bool = False
+
+
+Spread = Members | Leaving | News | Crash | Cleared | IdleLoss
 
 
 MESSAGES = (
@@ -189,4 +203,5 @@
     Report,
     Crash,
     Cleared,
+    IdleLoss,
 )
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -275,7 +275,7 @@
         if isinstance(exchanged, NotSent):
             return flight.attempts.after_unreachable(exchanged.server)
         if isinstance(exchanged, Lost):
-            if exchanged.reset:
+            if exchanged.reset and not exchanged.idle:
                 self.suspicion.report(
                     flight.fingerprint, exchanged.server, self.clock()
                 )
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -10,6 +10,8 @@
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.dialect import Verdict
 from cowslipmill.forwarding.flight import Flight
+from cowslipmill.forwarding.resting import is_idle_loss
+from cowslipmill.forwarding.resting import Resting
 from cowslipmill.http1.message import Answer
 from cowslipmill.http1.pool import ConnectionPool
 from cowslipmill.http1.serverconnection import ConnectFailed
@@ -68,11 +70,13 @@
         server: The server's name.
         reason: One sentence.
         reset: Whether the connection broke.
+        idle: Whether the server had dropped the idle connection before.
     """
 
     server: str
     reason: str
     reset: bool
+    idle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +108,7 @@
     Attributes:
         view: What is in force.
         lender: Gets the leases back.
+        resting: How long connections may rest.
         pool: Idle connections.
     """
 
@@ -111,12 +116,14 @@
         self,
         view: View,
         lender: Lender,
+        resting: Resting,
         dialect: Dialect,
         clock: Callable[[], float],
     ) -> None:
         """Starts without connections."""
         self.view = view
         self.lender = lender
+        self.resting = resting
         self.dialect = dialect
         self.clock = clock
         self.pool = ConnectionPool()
@@ -148,6 +155,8 @@
             result = Result.BROKEN
             if isinstance(exchanged, Sent):
                 result = RESULTS[exchanged.verdict]
+            elif isinstance(exchanged, Lost) and exchanged.idle:
+                result = Result.UNUSED
             return exchanged
         except ConnectFailed as error:
             result = Result.UNREACHABLE
@@ -171,10 +180,11 @@
         server = self.find(grant)
         if server is None:
             raise ConnectFailed('the server has left')
-        kept = self.pool.take(server.address, self.clock())
+        now = self.clock()
+        longest_s = self.resting.longest_s(server.service, now)
+        kept = self.pool.take(server.address, now, longest_rest_s=longest_s)
         if kept is not None:
             return kept
-        began_at = self.clock()
         try:
             connection = await open_connection(
                 server.address, CONNECT_TIMEOUT_S, self.dialect.identity_header
@@ -183,7 +193,7 @@
             OPENED.labels('failed').inc()
             raise
         OPENED.labels('opened').inc()
-        CONNECT.observe(self.clock() - began_at)
+        CONNECT.observe(self.clock() - now)
         return connection
 
     async def exchange(
@@ -196,10 +206,19 @@
         left_s = flight.give_up_at - self.clock()
         request = self.dialect.outgoing(flight.request, server, left_s)
         flight.attempts.note_send(server.name)
+        sent_at = self.clock()
+        rested_s = connection.rested_s(sent_at)
         try:
             answer = await connection.exchange(request)
         except ExchangeFailed as error:
-            return Lost(server.name, str(error), error.reset)
+            idle = error.reset and is_idle_loss(
+                rested_s,
+                self.clock() - sent_at,
+                answering=connection.answering,
+            )
+            if idle:
+                self.resting.report(server.service, rested_s)
+            return Lost(server.name, str(error), error.reset, idle)
         except CancelledError:
             # A connection that lost an answer may have gone silent, and so
             # may those opened before it.
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -17,6 +17,7 @@
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.forwarder import Forwarder
+from cowslipmill.forwarding.resting import Resting
 from cowslipmill.forwarding.sender import Sender
 from cowslipmill.forwarding.suspicion import Suspicion
 from cowslipmill.host.journal import Journal
@@ -105,7 +106,8 @@
         self.lender = Lender(
             self.view, self.roster, self.rpc, self.prober, clock, random
         )
-        self.sender = Sender(self.view, self.lender, dialect, clock)
+        resting = Resting(self.gossip, self.rpc, clock)
+        self.sender = Sender(self.view, self.lender, resting, dialect, clock)
         self.forwarder = Forwarder(
             self.view,
             self.lender,
--- a/cowslipmill/host/tests/test_requests.py
+++ b/cowslipmill/host/tests/test_requests.py
@@ -148,6 +148,32 @@
     assert_that(fleet.runs(), Equals(0))
 
 
+async def test_servers_that_drop_idle_connections_cost_one_booking(
+    fleet: Fleet,
+) -> None:
+    await fleet.ask('/book/a')
+    set_faults(fleet, Fault.FORGETS_IDLE)
+    statuses = []
+    for number in range(4):
+        await sleep(0.3)
+        statuses.append((await fleet.ask(f'/book/{number}')).status)
+    assert_that(statuses.count(502), LessThan(2))
+    assert_that(statuses[-2:], Equals([200, 200]))
+
+
+async def test_a_host_is_told_of_idle_connections_that_others_lost(
+    large_fleet: Fleet,
+) -> None:
+    hosts = large_fleet.hosts
+    hosts[0].sender.resting.report('registry', 0.3)
+    await large_fleet.until(
+        lambda: all(
+            host.sender.resting.longest_s('registry', host.clock()) < 0.3
+            for host in hosts
+        )
+    )
+
+
 async def test_a_request_ends_when_its_route_says(fleet: Fleet) -> None:
     set_faults(fleet, Fault.LOST)
     started_at = get_running_loop().time()
--- a/cowslipmill/http1/pool.py
+++ b/cowslipmill/http1/pool.py
@@ -23,17 +23,28 @@
         """Starts empty."""
         self.idle: dict[Address, deque[ServerConnection]] = {}
 
-    def take(self, address: Address, now: float) -> ServerConnection | None:
+    def take(
+        self,
+        address: Address,
+        now: float,
+        *,
+        longest_rest_s: float = float('inf'),
+    ) -> ServerConnection | None:
         """Returns a usable connection, or None.
 
         Args:
             address: The server's address.
             now: Monotonic seconds.
+            longest_rest_s: How long the connection may have rested.
         """
         idle = self.idle.get(address)
         while idle:
             connection = idle.pop()
-            if connection.usable and now < connection.idle_until:
+            if (
+                connection.usable
+                and now < connection.idle_until
+                and connection.rested_s(now) <= longest_rest_s
+            ):
                 return connection
             connection.close()
         return None
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -57,7 +57,8 @@
     Attributes:
         identity_header: Header that an answer repeats, or nothing.
         idle_until: When the connection must not be used any more.
-        opened_at: When the connection was made.
+        rested_at: When its last exchange ended; None before the first.
+        answering: Whether a byte of the open request's answer has come.
     """
 
     def __init__(self, identity_header: bytes = b'') -> None:
@@ -66,7 +67,8 @@
         self.transport: Transport | None = None
         self.waiter: Future[Answer] | None = None
         self.identity = b''
-        self.opened_at = 0.0
+        self.rested_at: float | None = None
+        self.answering = False
         self.idle_until = 0.0
         self.reusable = True
         self.parser = HttpResponseParser(self)
@@ -94,7 +96,6 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Sets the socket's options."""
         self.transport = cast(Transport, transport)
-        self.opened_at = get_running_loop().time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
@@ -105,6 +106,7 @@
         if self.waiter is None:
             self.close()
             return
+        self.answering = True
         try:
             self.parser.feed_data(data)
         except HttpParserError as error:
@@ -194,7 +196,17 @@
             digits = announced.partition(b'timeout=')[2].partition(b',')[0]
             if digits.strip().isdigit():
                 idle_s = min(idle_s, int(digits) - IDLE_MARGIN_S)
-        self.idle_until = get_running_loop().time() + idle_s
+        self.rested_at = get_running_loop().time()
+        self.idle_until = self.rested_at + idle_s
+
+    @property
+    def has_rested(self) -> bool:
+        """Whether it had been idle between two requests."""
+        return self.rested_at is not None
+
+    def rested_s(self, now: float) -> float:
+        """Returns for how long the connection has been idle."""
+        return 0.0 if self.rested_at is None else now - self.rested_at
 
     def fail(self, reason: str, *, reset: bool) -> None:
         """Fails the open request and closes."""
@@ -230,6 +242,7 @@
         loop = get_running_loop()
         waiter: Future[Answer] = loop.create_future()
         self.waiter = waiter
+        self.answering = False
         self.identity = b''
         if self.identity_header:
             self.identity = request.header(self.identity_header)
--- a/cowslipmill/lending/prober.py
+++ b/cowslipmill/lending/prober.py
@@ -6,6 +6,8 @@
 from prometheus_client import Counter
 
 from cowslipmill.forwarding.dialect import Dialect
+from cowslipmill.http1.message import Answer
+from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
@@ -45,13 +47,20 @@
         if address in self.asking:
             return
         self.asking.add(address)
+        request = self.dialect.health_request(server.record, path)
         asked_at = self.clock()
         try:
             connection = await self.connect(address)
-            request = self.dialect.health_request(server.record, path)
-            until = get_running_loop().time() + ANSWER_TIMEOUT_S
             asked_at = self.clock()
-            answer = await connection.exchange(request, until=until)
+            try:
+                answer = await exchange_in_time(connection, request)
+            except ExchangeFailed as error:
+                if not error.reset or not connection.has_rested:
+                    raise
+                # The server may have dropped the idle connection.
+                connection = await self.connect(address)
+                asked_at = self.clock()
+                answer = await exchange_in_time(connection, request)
         except (ConnectFailed, ExchangeFailed, TimeoutError):
             QUESTIONS.labels('unanswered').inc()
             server.note_silence(self.clock())
@@ -84,3 +93,17 @@
         for address in list(self.connections):
             if address not in kept:
                 self.connections.pop(address).close()
+
+
+async def exchange_in_time(
+    connection: ServerConnection, request: Request
+) -> Answer:
+    """Returns the answer to a question.
+
+    Raises:
+        ConnectFailed: If nothing was sent.
+        ExchangeFailed: If no whole answer came.
+        TimeoutError: If time ran out.
+    """
+    until = get_running_loop().time() + ANSWER_TIMEOUT_S
+    return await connection.exchange(request, until=until)
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -15,6 +15,7 @@
 SILENCE_S = 30.0
 LATE_S = 0.05
 SHED_LATE_S = 0.3
+FORGOTTEN_S = 0.2
 
 
 class Fault(Enum):
@@ -35,6 +36,7 @@
     ERROR = 'error'
     SHED = 'shed'
     SHED_LATE = 'shed-late'
+    FORGETS_IDLE = 'forgets-idle'
     SILENT = 'silent'
     OTHER_ID = 'other-id'
     UNSIGNED = 'unsigned'
@@ -139,7 +141,13 @@
         self, reader: StreamReader, writer: StreamWriter
     ) -> bool:
         """Serves one request and tells whether another may follow."""
+        clock = get_running_loop().time
+        rested_since = clock()
         raw = await reader.readuntil(b'\r\n\r\n')
+        rested_s = clock() - rested_since
+        if self.fault is Fault.FORGETS_IDLE and rested_s > FORGOTTEN_S:
+            reset(writer)
+            return False
         first, *lines = raw.decode('latin-1').split('\r\n')
         method, target, _ = first.split(' ')
         headers = {
