Tell other hosts all that was read, not only what was new to the reader

Ruled out: a lost message, which the next one shows by its gap; the slow store, whose calls were answered in time. Change: news holds all events of the watch; a whole read tells what changed only if the view had no gap and nothing else changed it meanwhile, else only its revision. Before: test_what_another_host_told_meanwhile_is_still_news and its neighbour have no way to pass; after: both do. A leaving server could be lost the same way.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -21,6 +21,7 @@
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.view.events import Event
+from cowslipmill.view.reader import Reading
 from cowslipmill.view.view import Snapshot
 from cowslipmill.view.view import View
 
@@ -201,7 +202,9 @@
         now = self.clock()
         missed = message.since > self.view.revision
         changed = self.view.apply(message.events, now)
-        if not missed:
+        if missed:
+            self.view.note_gap(message.revision)
+        else:
             self.view.advance(message.revision, now - message.age_s)
         self.pass_on(message)
         self.on_events(changed, name)
@@ -244,15 +247,18 @@
         order = self.roster.order('relay', own.failure_domain, self.clock())
         return bool(order) and order[0].name == own.name
 
-    def publish(self, since: int, events: list[Event]) -> None:
+    def publish(self, reading: Reading) -> None:
         """Tells the fleet what this host has read from the store."""
-        now = self.clock()
-        view = self.view
-        age_s = round(now - view.heard_at, 4)
-        name = self.roster.own.name
-        self.spread(
-            News(since, view.revision, age_s, tuple(events), name, relay=False)
+        age_s = round(self.clock() - self.view.heard_at, 4)
+        news = News(
+            reading.since,
+            reading.revision,
+            age_s,
+            tuple(reading.news),
+            self.roster.own.name,
+            relay=False,
         )
+        self.spread(news)
 
     def say_leaving(self) -> None:
         """Tells the fleet that this host stops."""
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -209,25 +209,13 @@
             if now < due_at:
                 await sleep(min(due_at - now, SWEEP_INTERVAL_S))
                 continue
-            since = self.view.revision
             self.turn.begin()
-            changed = await self.reader.read()
-            failed = isinstance(changed, StoreUnavailable)
+            reading = await self.reader.read()
+            failed = isinstance(reading, StoreUnavailable)
             self.turn.note(failed=failed, now=self.clock())
-            if not isinstance(changed, StoreUnavailable):
-                self.note_events(changed, 'store')
-                self.publish(since, changed)
-
-    def publish(self, since: int, changed: list[Event]) -> None:
-        """Tells the fleet what changed.
-
-        The first read holds everything, which the others know: only its
-        revision is told, and whoever is behind asks for the rest.
-        """
-        if since:
-            self.gossip.publish(since, changed)
-        else:
-            self.gossip.publish(self.view.revision, [])
+            if not isinstance(reading, StoreUnavailable):
+                self.note_events(reading.changed, 'store')
+                self.gossip.publish(reading)
 
     def read_rank(self, name: str = '') -> int:
         """Returns how many hosts read the store before one; else this."""
--- a/cowslipmill/view/reader.py
+++ b/cowslipmill/view/reader.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
+from dataclasses import dataclass
 from logging import getLogger
 from typing import Protocol
 
@@ -57,6 +58,23 @@
         """Returns the changes that an answer holds."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What a read of the store gave.
+
+    Attributes:
+        since: Revision from which the news continues.
+        revision: Revision that it ends with.
+        news: What a host that knows `since` needs to know `revision`.
+        changed: What changed in this host's view.
+    """
+
+    since: int
+    revision: int
+    news: list[Event]
+    changed: list[Event]
+
+
 class StoreReader:
     """Keeps a view up to date from the store.
 
@@ -82,66 +100,78 @@
         self.cursor = 0
         self.reachable: bool | None = None
 
-    async def read(self) -> list[Event] | StoreUnavailable:
-        """Reads what changed and returns what matters of it.
+    async def read(self) -> Reading | StoreUnavailable:
+        """Reads what changed.
 
         Other hosts' news may have brought the view further than this host
         has read; reading goes on from there.
         """
         if not self.view.revision:
             return await self.read_all()
-        self.cursor = max(self.cursor, self.view.revision)
-        request = self.store.changes_request(self.cursor, WATCH_S)
+        since = max(self.cursor, self.view.revision)
+        self.cursor = since
+        request = self.store.changes_request(since, WATCH_S)
         answer = await self.call(request, WATCH_S)
         if isinstance(answer, StoreUnavailable):
-            return self.note(answer)
+            return self.note_lost(answer)
         changes = self.store.read_changes(answer)
         if isinstance(changes, StoreUnavailable):
-            return self.note(changes)
+            return self.note_lost(changes)
         if isinstance(changes, HistoryGone):
-            LOG.info('history gone', extra={'revision': self.cursor})
+            LOG.info('history gone', extra={'revision': since})
             return await self.read_all()
         log_invalid(changes.invalid)
-        if changes.count < changes.revision - self.cursor:
-            LOG.info('changes missing', extra={'revision': self.cursor})
+        if changes.count < changes.revision - since:
+            LOG.info('changes missing', extra={'revision': since})
             return await self.read_all()
         now = self.clock()
-        self.cursor = max(self.cursor, changes.revision)
+        self.cursor = max(since, changes.revision)
         changed = self.view.apply(changes.events, now)
         self.view.advance(self.cursor, now)
-        self.note(None)
-        return changed
+        self.note_reached()
+        # All of them, since another host's news may have changed this view
+        # while the store waited, but not that of every host.
+        return Reading(since, self.cursor, list(changes.events), changed)
 
-    async def read_all(self) -> list[Event] | StoreUnavailable:
+    async def read_all(self) -> Reading | StoreUnavailable:
         """Reads every entry, page by page."""
         asked_at = self.clock()
+        view = self.view
+        since, changes = view.revision, view.changes
+        complete = since > 0 and not view.has_gap
         first_revision = 0
         next_key = ''
         names: set[str] = set()
-        changed: list[Event] = []
+        events: list[Event] = []
         while True:
             answer = await self.call(self.store.page_request(next_key))
             if isinstance(answer, StoreUnavailable):
-                return self.note(answer)
+                return self.note_lost(answer)
             page = self.store.read_page(answer)
             if isinstance(page, StoreUnavailable):
-                return self.note(page)
+                return self.note_lost(page)
             log_invalid(page.invalid)
             first_revision = first_revision or page.revision
-            for event in page.events:
-                if isinstance(event, ServerSet):
-                    names.add(event.record.name)
+            events += page.events
             names |= {entry.key.rpartition('/')[2] for entry in page.invalid}
-            changed += self.view.apply(page.events, self.clock())
             next_key = page.next_key
             if not next_key:
                 break
+        names |= {e.record.name for e in events if isinstance(e, ServerSet)}
         now = self.clock()
-        changed += self.view.retain(names, first_revision, now)
+        complete = complete and (since, changes) == (
+            view.revision,
+            view.changes,
+        )
+        changed = view.apply(events, now)
+        changed += view.retain(names, first_revision, now)
         self.cursor = first_revision
-        self.view.advance(first_revision, asked_at)
-        self.note(None)
-        return changed
+        view.advance(first_revision, asked_at)
+        self.note_reached()
+        if complete:
+            return Reading(since, first_revision, changed, changed)
+        # What others lack is not known here, so that whoever is behind asks.
+        return Reading(first_revision, first_revision, [], changed)
 
     async def call(
         self, request: Request, wait_s: float = 0.0
@@ -172,22 +202,28 @@
         STORE_CALLS.labels('answered').inc()
         return answer
 
-    def note(
-        self, failure: StoreUnavailable | None
-    ) -> StoreUnavailable | list[Event]:
-        """Logs when the store is lost or regained."""
-        reachable = failure is None
-        if reachable is not self.reachable:
-            self.reachable = reachable
-            LOG.info(
-                'store regained' if reachable else 'store lost',
-                extra={
-                    'reason': failure.reason if failure else '',
-                    'revision': self.view.revision,
-                    'view_age_ms': self.view.age_ms(self.clock()),
-                },
-            )
-        return failure if failure is not None else []
+    def note_lost(self, failure: StoreUnavailable) -> StoreUnavailable:
+        """Logs when the store is lost, and returns the reason."""
+        self.note(reachable=False, reason=failure.reason)
+        return failure
+
+    def note_reached(self) -> None:
+        """Logs when the store is regained."""
+        self.note(reachable=True, reason='')
+
+    def note(self, *, reachable: bool, reason: str) -> None:
+        """Logs a change of whether the store is in reach."""
+        if reachable is self.reachable:
+            return
+        self.reachable = reachable
+        LOG.info(
+            'store regained' if reachable else 'store lost',
+            extra={
+                'reason': reason,
+                'revision': self.view.revision,
+                'view_age_ms': self.view.age_ms(self.clock()),
+            },
+        )
 
 
 def log_invalid(entries: tuple[Invalid, ...]) -> None:
--- a/cowslipmill/view/tests/test_reader.py
+++ b/cowslipmill/view/tests/test_reader.py
@@ -1,10 +1,13 @@
 """Reading a store that fails in every way it may."""
 
+from asyncio import create_task
 from asyncio import get_running_loop
+from asyncio import sleep
 from asyncio import timeout
 from collections.abc import AsyncIterator
 from typing import Any
 
+from msgspec.structs import replace
 import pytest
 import pytest_asyncio
 from testtools.assertions import assert_that
@@ -13,8 +16,11 @@
 
 from cowslipmill.platform.store import Store
 from cowslipmill.standin.store import StandinStore
+from cowslipmill.view.events import ServerSet
 from cowslipmill.view.events import StoreUnavailable
+from cowslipmill.view.reader import Reading
 from cowslipmill.view.reader import StoreReader
+from cowslipmill.view.server import ServerRecord
 from cowslipmill.view.view import View
 
 CONFIGURATION: dict[str, Any] = {
@@ -63,6 +69,10 @@
     return StoreReader(store.address, Store('store'), View(), clock)
 
 
+def record_of(reader: StoreReader, name: str) -> ServerRecord:
+    return replace(reader.view.servers[name].record, leaving=True)
+
+
 def names(reader: StoreReader) -> list[str]:
     serving = reader.view.serving('registry')
     return sorted(known.record.name for known in serving)
@@ -83,13 +93,58 @@
 ) -> None:
     await reader.read()
     store.put('servers/one', entry('draining'))
-    changed = await reader.read()
-    assert not isinstance(changed, StoreUnavailable)
-    assert_that(len(changed), Equals(1))
+    reading = await reader.read()
+    assert isinstance(reading, Reading)
+    assert_that(len(reading.changed), Equals(1))
     assert_that(names(reader), Equals(['two']))
     assert_that(store.calls['/api/kv-range'], Equals(1))
 
 
+async def test_what_another_host_told_meanwhile_is_still_news(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    await reader.read()
+    known = reader.view.revision
+    reading = create_task(reader.read())
+    await sleep(0.05)
+    revision = store.put('servers/one', entry('draining'))
+    other = View()
+    other.apply([ServerSet(record_of(reader, 'one'), revision)], 0.0)
+    other.advance(revision, 0.0)
+    reader.view.merge(other.snapshot(0.0), 0.0)
+    read = await reading
+    assert isinstance(read, Reading)
+    assert_that((read.since, read.revision), Equals((known, revision)))
+    assert_that(read.changed, Equals([]))
+    assert_that(len(read.news), Equals(1))
+
+
+async def test_a_whole_read_beside_other_news_tells_only_its_revision(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    await reader.read()
+    revision = store.put('servers/one', entry('draining'))
+    store.compact()
+    reader.view.apply([ServerSet(record_of(reader, 'one'), revision)], 0.0)
+    reader.view.note_gap(revision)
+    read = await reader.read()
+    assert isinstance(read, Reading)
+    assert_that((read.since, read.news), Equals((revision, [])))
+
+
+async def test_a_whole_read_alone_tells_what_changed(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    await reader.read()
+    known = reader.view.revision
+    store.put('servers/one', entry('draining'))
+    store.compact()
+    read = await reader.read()
+    assert isinstance(read, Reading)
+    assert_that(read.since, Equals(known))
+    assert_that(len(read.news), Equals(1))
+
+
 async def test_forgotten_history_is_read_anew(
     reader: StoreReader, store: StandinStore
 ) -> None:
@@ -146,9 +201,9 @@
     store.put('servers/three', entry())
     reader.view.advance(store.revision, 0.0)
     store.put('servers/four', entry())
-    changed = await reader.read()
-    assert not isinstance(changed, StoreUnavailable)
-    assert_that(len(changed), Equals(1))
+    reading = await reader.read()
+    assert isinstance(reading, Reading)
+    assert_that(len(reading.changed), Equals(1))
 
 
 FORGED: dict[str, Any] = {
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -78,6 +78,7 @@
         revision: The store's revision that the view holds.
         heard_at: When the store was known to say so.
         changes: Grows with each change that matters to requests.
+        partly: Revision up to which some, not all, changes are held.
     """
 
     def __init__(self, *, leaving_s: float = LEAVING_S) -> None:
@@ -89,6 +90,7 @@
         self.revision = 0
         self.heard_at = float('-inf')
         self.changes = 0
+        self.partly = 0
 
     @property
     def complete(self) -> bool:
@@ -198,6 +200,15 @@
         self.revision = max(self.revision, revision)
         self.heard_at = max(self.heard_at, heard_at)
 
+    def note_gap(self, revision: int) -> None:
+        """Notes that changes up to a revision came without those before."""
+        self.partly = max(self.partly, revision)
+
+    @property
+    def has_gap(self) -> bool:
+        """Whether the view holds changes beyond its revision."""
+        return self.partly > self.revision
+
     def drop_lapsed(self, now: float) -> list[str]:
         """Drops servers whose entries didn't come back in time."""
         lapsed = {
