Admit by the slots of fast servers, and have late work yield in an overload

While any slow server had a free slot, which it always has since it is avoided, tickets waited without any admission, up to the deadline; the expected wait counted slots at slow servers; callers who came back counted as new, and were told to come back after 0.1 s of a rush that lasts for seconds, until they had no tries left. Change: the expected wait counts the slots of fast servers on average, for every ticket that waits; what can't be in time waits only for what is left over, and is refused at once while other work is refused; Retry-After is at least as long as the overload has lasted; how long a caller has been asking is learned from its remaining patience, below that of nearly all first requests of its route.

--- /dev/null
+++ b/cowslipmill/bench/placements.py
@@ -0,0 +1,192 @@
+"""Ways of placing requests that a replay compares."""
+
+from random import Random
+
+from cowslipmill.bench.replay import Job
+from cowslipmill.bench.replay import Machine
+from cowslipmill.bench.replay import Refused
+from cowslipmill.bench.replay import Replay
+from cowslipmill.bench.replay import Started
+from cowslipmill.lending.home import Home
+from cowslipmill.lending.load import Load
+from cowslipmill.lending.need import Need
+from cowslipmill.lending.ticket import AskElsewhere
+from cowslipmill.lending.ticket import Grant
+from cowslipmill.lending.ticket import Report
+from cowslipmill.lending.ticket import Result
+from cowslipmill.lending.ticket import Ticket
+from cowslipmill.view.server import ServerRecord
+
+HOSTS = 18
+HOST = 'host-1'
+SERVICE = 'registry'
+ROUTE = 'read'
+DOMAIN = 'domain-a'
+
+
+class OwnCounts:
+    """Each host sends at once to the server where it has the fewest.
+
+    The former way of hosts that don't talk to each other. A server that is
+    full queues what comes.
+    """
+
+    def __init__(self, replay: Replay) -> None:
+        """Starts without requests."""
+        self.replay = replay
+        self.waiting: dict[str, list[Job]] = {
+            machine.name: [] for machine in replay.machines
+        }
+        self.counts: dict[tuple[int, str], int] = {}
+        self.hosts: dict[int, int] = {}
+
+    def take(self, job: Job, now: float) -> None:
+        """Chooses a server."""
+        host = self.replay.random.randrange(HOSTS)
+        machine = min(
+            self.replay.machines,
+            key=lambda m: (
+                self.counts.get((host, m.name), 0),
+                self.replay.random.random(),
+            ),
+        )
+        key = (host, machine.name)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        self.hosts[job.number] = host
+        self.waiting[machine.name].append(job)
+
+    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+        """Frees the host's place at the server."""
+        self.counts[self.hosts.pop(job.number), machine.name] -= 1
+
+    def decide(self, now: float) -> list[Started | Refused]:
+        """Has servers begin what they have queued."""
+        decisions: list[Started | Refused] = []
+        for machine in self.replay.machines:
+            queue = self.waiting[machine.name]
+            free = self.replay.scene.slots - machine.running
+            for job in queue[: max(0, free)]:
+                decisions.append(Started(job, machine))
+            del queue[: max(0, free)]
+        return decisions
+
+
+class Oracle:
+    """Knows each server's occupancy and speed at the moment of choice.
+
+    It starts a job at the free server with the most slots left among the
+    fast ones, and leaves slow servers alone while the job can still be in
+    time at a fast one. It never refuses.
+    """
+
+    def __init__(self, replay: Replay) -> None:
+        """Starts without requests."""
+        self.replay = replay
+        self.queue: list[Job] = []
+
+    def take(self, job: Job, now: float) -> None:
+        """Queues a job."""
+        self.queue.append(job)
+
+    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+        """Needs no report."""
+
+    def decide(self, now: float) -> list[Started | Refused]:
+        """Starts what a fast server can take."""
+        scene = self.replay.scene
+        free = {
+            machine.name: scene.slots - machine.running
+            for machine in self.replay.machines
+            if not machine.down and not machine.slow
+        }
+        machines = {m.name: m for m in self.replay.machines}
+        decisions: list[Started | Refused] = []
+        # Jobs that can still be in time go before those that can't.
+        self.queue.sort(
+            key=lambda job: (
+                now + scene.work_s > job.first_at + scene.objective_s,
+                job.first_at,
+            )
+        )
+        while self.queue and any(left > 0 for left in free.values()):
+            name = max(free, key=lambda name: free[name])
+            free[name] -= 1
+            decisions.append(Started(self.queue.pop(0), machines[name]))
+        return decisions
+
+
+class Lending:
+    """The home of this product, whose questions are answered at once."""
+
+    def __init__(self, replay: Replay) -> None:
+        """Starts a home of all servers."""
+        self.replay = replay
+        self.random = Random(1)
+        self.jobs: dict[int, Job] = {}
+        self.machines = {m.name: m for m in replay.machines}
+        self.home = Home(DOMAIN)
+        self.asked = 0
+        records = [
+            ServerRecord(
+                name=machine.name,
+                started_ms=1,
+                service=SERVICE,
+                address=('127.0.0.1', 1),
+                failure_domain=DOMAIN,
+                slots=replay.scene.slots,
+                leaving=False,
+                warm_up_s=0.0,
+            )
+            for machine in replay.machines
+        ]
+        self.home.set_servers([(record, False) for record in records], 0.0)
+
+    def take(self, job: Job, now: float) -> None:
+        """Queues a ticket."""
+        self.jobs[job.number] = job
+        scene = self.replay.scene
+        need = Need(
+            SERVICE,
+            ROUTE,
+            1,
+            job.first_at + scene.objective_s,
+            job.first_at + scene.deadline_s,
+        )
+        self.home.push(Ticket((HOST, job.number), need, now))
+
+    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+        """Reports the end of a lease."""
+        now = self.replay.now
+        key = (HOST, job.number)
+        lease = self.home.servers[machine.name].leases.get(key)
+        duration_s = now - lease.granted_at if lease else took_s
+        report = Report(
+            key, SERVICE, DOMAIN, machine.name, Result.ANSWERED, duration_s
+        )
+        self.home.report(report, now)
+
+    def decide(self, now: float) -> list[Started | Refused]:
+        """Asks servers and has the home decide."""
+        if not self.home.queue:
+            return []
+        for server in self.home.servers_to_ask(now, self.random):
+            self.asked += 1
+            machine = self.machines[server.name]
+            if machine.down:
+                server.note_silence(now)
+                continue
+            load = Load(
+                machine.running, 0, server.record.slots, machine.slowdown
+            )
+            server.note_load(load, now, now)
+        decisions: list[Started | Refused] = []
+        for decision in self.home.decide(now, self.random):
+            if isinstance(decision, AskElsewhere):
+                continue
+            job = self.jobs.pop(decision.key[1])
+            if isinstance(decision, Grant):
+                machine = self.machines[decision.server]
+                decisions.append(Started(job, machine))
+            else:
+                decisions.append(Refused(job, decision.retry_after_s))
+        return decisions
--- a/cowslipmill/forwarding/flight.py
+++ b/cowslipmill/forwarding/flight.py
@@ -16,6 +16,7 @@
         fingerprint: Hash that the same request has at any host.
         attempts: What was tried.
         arrived_at: Monotonic seconds.
+        first_asked_at: When its caller first asked, as far as is known.
         deadline_at: When the caller stops waiting.
         give_up_at: When it gets its answer at the latest.
         caller_left: Whether its caller has gone.
@@ -27,6 +28,7 @@
         'caller_left',
         'deadline_at',
         'fingerprint',
+        'first_asked_at',
         'give_up_at',
         'request',
         'request_id',
@@ -52,6 +54,7 @@
         self.fingerprint = fingerprint
         self.attempts = attempts
         self.arrived_at = arrived_at
+        self.first_asked_at = arrived_at
         self.deadline_at = arrived_at
         self.give_up_at = arrived_at
         self.caller_left = False
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.dialect import Verdict
 from cowslipmill.forwarding.flight import Flight
+from cowslipmill.forwarding.patience import Patience
 from cowslipmill.forwarding.sender import Exchanged
 from cowslipmill.forwarding.sender import Lost
 from cowslipmill.forwarding.sender import NotSent
@@ -60,6 +61,8 @@
 # doesn't take the whole fleet's allowance.
 FEWEST_HOSTS = 12
 FINGERPRINT_BYTES = 12
+# Time after a refusal within which callers may be ones that come back.
+CALM_S = 2.5
 # Answer size assumed before a route has answered.
 ASSUMED_KILOBYTES = 2.0
 SIZE_WEIGHT = 0.1
@@ -75,6 +78,8 @@
         budgets: Further sends allowed, by service.
         suspicion: Requests that crash servers.
         journal: Records decisions and counts them.
+        refused_at: When a request was last refused here; a start counts,
+            since callers may have been cut off by it.
         stop_at: When this host ends, once it is known. A request that may
             not have its answer by then is refused.
     """
@@ -105,6 +110,8 @@
         self.random = random
         self.budgets: dict[str, RetryBudget] = {}
         self.sizes: dict[str, float] = {}
+        self.patiences: dict[str, Patience] = {}
+        self.refused_at = clock()
         self.table: RouteTable | None = None
         self.table_version = 0
         self.stop_at = float('inf')
@@ -132,6 +139,8 @@
         patience_s = demand.patience_s
         if patience_s is None:
             patience_s = route.timeout_s or DEFAULT_PATIENCE_S
+        else:
+            flight.first_asked_at = now - self.waited_s(route, patience_s, now)
         flight.deadline_at = now + patience_s
         flight.give_up_at = flight.deadline_at
         if route.timeout_s:
@@ -148,6 +157,13 @@
         connection.on_leave = leave
         return await self.settle(flight)
 
+    def waited_s(self, route: Route, patience_s: float, now: float) -> float:
+        """Returns how long a caller has been asking before."""
+        patience = self.patiences.setdefault(route.name, Patience())
+        if now - self.refused_at > CALM_S:
+            patience.note(patience_s)
+        return patience.waited_s(patience_s)
+
     def routes(self) -> RouteTable | None:
         """Returns the routes in force."""
         configuration = self.view.configuration
@@ -257,7 +273,7 @@
     def need(self, flight: Flight, better_than_s: float | None) -> Need:
         """Returns what a request needs of its next server."""
         route = flight.route
-        objective_at = flight.arrived_at + route.objective_s
+        objective_at = flight.first_asked_at + route.objective_s
         size = self.sizes.get(route.name, ASSUMED_KILOBYTES)
         return Need(
             flight.service,
@@ -316,7 +332,7 @@
         A copy that is sent then can still be answered within the objective,
         unless the work itself takes most of that time.
         """
-        objective_at = flight.arrived_at + flight.route.objective_s
+        objective_at = flight.first_asked_at + flight.route.objective_s
         latest_s = objective_at - self.clock() - FINISH_MARGIN * grant.finish_s
         return self.clock() + max(latest_s, OVERDUE_FACTOR * grant.finish_s)
 
@@ -333,7 +349,8 @@
         self, flight: Flight, reason: str, retry_after_s: float
     ) -> Answer:
         """Tells that the request has not run, and when to come back."""
-        self.journal.refused(flight, reason, retry_after_s, self.clock())
+        self.refused_at = self.clock()
+        self.journal.refused(flight, reason, retry_after_s, self.refused_at)
         return self.dialect.refusal(503, flight.request_id, retry_after_s)
 
     def fail(self, flight: Flight, reason: str, status: int) -> Answer:
--- /dev/null
+++ b/cowslipmill/forwarding/patience.py
@@ -0,0 +1,47 @@
+"""How long a caller has waited already, as its remaining patience tells.
+
+Answers the load pattern of a rush in which refused callers come back: a
+caller that returns states less time than those who ask for the first time.
+Its latency counts from its first request, so that it may be late already.
+"""
+
+from collections import deque
+
+# First requests of a route that are remembered, and the fewest of them
+# before anything is concluded.
+REMEMBERED = 64
+FEWEST = 16
+# Share of first requests that may state less time than the floor; some
+# callers come back after a failure at another host.
+BELOW_FLOOR = 0.05
+
+
+class Patience:
+    """The times that the callers of one route state at first.
+
+    Attributes:
+        recent: The last times stated while nobody had cause to come back.
+        floor_s: Time that hardly any first request stays below.
+    """
+
+    __slots__ = ('floor_s', 'recent')
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        self.recent: deque[float] = deque(maxlen=REMEMBERED)
+        self.floor_s = 0.0
+
+    def note(self, patience_s: float) -> None:
+        """Takes in the time that a first request states."""
+        self.recent.append(patience_s)
+        if len(self.recent) >= FEWEST:
+            ordered = sorted(self.recent)
+            self.floor_s = ordered[int(BELOW_FLOOR * len(ordered))]
+
+    def waited_s(self, patience_s: float) -> float:
+        """Returns how long a caller has waited before, at least.
+
+        Args:
+            patience_s: The time that it states.
+        """
+        return max(0.0, self.floor_s - patience_s)
--- a/cowslipmill/host/journal.py
+++ b/cowslipmill/host/journal.py
@@ -70,6 +70,9 @@
                 'service': flight.service,
                 'server': grant.server,
                 'waited_ms': milliseconds(waited_s),
+                'asked_before_ms': milliseconds(
+                    flight.arrived_at - flight.first_asked_at
+                ),
                 'expected_ms': milliseconds(grant.finish_s),
                 'slowdown': grant.slowdown,
                 'load_age_ms': milliseconds(grant.load_age_s),
@@ -158,6 +161,9 @@
             'service': flight.service,
             'reason': reason,
             'took_ms': milliseconds(took_s),
+            'asked_before_ms': milliseconds(
+                flight.arrived_at - flight.first_asked_at
+            ),
             'servers': flight.attempts.excluded,
             'sends': flight.attempts.sends,
         }
--- a/cowslipmill/lending/home.py
+++ b/cowslipmill/lending/home.py
@@ -15,8 +15,10 @@
 from cowslipmill.lending.estimate import is_passing_slow
 from cowslipmill.lending.estimate import risk_s
 from cowslipmill.lending.estimate import was_slow
+from cowslipmill.lending.overload import Overload
 from cowslipmill.lending.slots import Lease
 from cowslipmill.lending.slots import ServerSlots
+from cowslipmill.lending.slots import SLOW_FACTOR
 from cowslipmill.lending.ticket import AskElsewhere
 from cowslipmill.lending.ticket import Decision
 from cowslipmill.lending.ticket import Grant
@@ -64,7 +66,14 @@
 # Share of the objective by which the wait of an admitted ticket may exceed
 # its time to spare, since waits vary.
 PATIENCE = 0.25
+# Share of its time left that the expected wait of late work may take, since
+# it gets only what the rest leaves over.
+LATE_SHARE = 0.25
 MAX_WAITING = 2_048
+# Reports younger than this tell the share of fast servers: a few slow times.
+SPEED_VALID_S = 0.5
+# Time over which that share is averaged, several slow times.
+SPEED_MEAN_S = 1.0
 
 
 class Home:
@@ -75,16 +84,24 @@
         servers: Slots by server name.
         queue: Tickets that wait, in the order in which they are served.
         work: Time that work takes, by route.
+        overload: Since when work that could be in time is refused.
         others: Whether other failure domains may be asked.
         asked_at: When servers were asked for the present decision.
+        fast_share: Share of the servers that are fast, on average.
+        speeds_at: When that was last brought up to date.
+        fast_slots: Slots at fast servers as of the present decision.
     """
 
     __slots__ = (
         'asked_at',
         'failure_domain',
+        'fast_share',
+        'fast_slots',
         'others',
+        'overload',
         'queue',
         'servers',
+        'speeds_at',
         'work',
     )
 
@@ -94,8 +111,12 @@
         self.servers: dict[str, ServerSlots] = {}
         self.queue: list[Ticket] = []
         self.work = WorkTimes()
+        self.overload = Overload()
         self.others = False
         self.asked_at = 0.0
+        self.fast_share = 1.0
+        self.fast_slots = 1.0
+        self.speeds_at = 0.0
 
     def set_servers(
         self, records: Iterable[tuple[ServerRecord, bool]], now: float
@@ -188,6 +209,8 @@
         self.asked_at = now if asked_at is None else asked_at
         for server in self.servers.values():
             server.expire(now)
+        self.note_speeds(now)
+        self.fast_slots = self.count_fast_slots(now)
         decisions: list[Decision] = []
         waiting: list[Ticket] = []
         # Work that is late already yields to work that isn't.
@@ -216,47 +239,77 @@
         self, ticket: Ticket, ahead: int, now: float, random: Random
     ) -> Decision | None:
         """Returns the decision about one ticket; None lets it wait."""
+        need = ticket.need
         work_s = self.work.typical_s(ticket)
         best, finish_s = self.find_best(ticket, work_s, now)
-        if ticket.need.better_than_s is not None:
-            if best is None or finish_s > ticket.need.better_than_s:
+        if need.better_than_s is not None:
+            if best is None or finish_s > need.better_than_s:
                 return self.refuse(ticket, 'no better server', now, random)
             return self.grant(ticket, best, finish_s, now)
-        left_s = ticket.need.objective_at - now
+        left_s = need.objective_at - now
+        slow = best is not None and is_passing_slow(best, now)
         if best is not None and finish_s <= left_s:
-            last_chance = left_s - finish_s < FAST_WAIT_S
-            if last_chance or not is_passing_slow(best, now):
+            if not slow or left_s - finish_s < FAST_WAIT_S:
                 return self.grant(ticket, best, finish_s, now)
-        wait_s = self.expected_wait_s(ticket, ahead, now)
+        wait_s = self.expected_wait_s(ticket, ahead)
         if best is not None:
-            wait_s = FAST_WAIT_S
-        spare_s = left_s - WORK_MARGIN * work_s
+            wait_s = max(FAST_WAIT_S, wait_s)
+        spare_s = self.spare_s(ticket, now)
         limit_s = wait_s + work_s - self.remote_cost_s(ticket)
         if spare_s < max(FAST_WAIT_S, wait_s):
             # Here it would be late, which costs more than a crossing.
             limit_s = max(limit_s, left_s - REMOTE_S)
         if self.may_ask(ticket, now) and limit_s > WORK_MARGIN * work_s:
             return AskElsewhere(ticket, limit_s)
-        if best is not None:
-            if is_passing_slow(best, now):
-                spare_s = ticket.need.deadline_at - now - FAST_WAIT_S - work_s
-            if spare_s > 0.0:
-                return None
-            return self.grant(ticket, best, finish_s, now)
         if len(self.queue) > MAX_WAITING or not self.servers:
             return self.refuse(ticket, 'no server', now, random)
-        if not self.may_wait(ticket, wait_s, spare_s):
+        if spare_s > 0.0:
+            if self.may_wait(ticket, wait_s, spare_s):
+                return None
+            self.overload.note(now)
+            return self.refuse(ticket, 'overloaded', now, random)
+        queued_s = self.expected_wait_s(ticket, ahead - 1)
+        return self.decide_late(ticket, best, finish_s, queued_s, now, random)
+
+    def spare_s(self, ticket: Ticket, now: float) -> float:
+        """Returns how long a ticket may wait and still be in time."""
+        work_s = self.work.typical_s(ticket)
+        return ticket.need.objective_at - now - WORK_MARGIN * work_s
+
+    def decide_late(
+        self,
+        ticket: Ticket,
+        best: ServerSlots | None,
+        finish_s: float,
+        queued_s: float,
+        now: float,
+        random: Random,
+    ) -> Decision | None:
+        """Returns the decision about a ticket that can't be in time.
+
+        It takes a fast server, or the last one before its deadline. While
+        others are refused, it makes room for those that can be in time.
+        """
+        if best is not None and not is_passing_slow(best, now):
+            return self.grant(ticket, best, finish_s, now)
+        if self.overload.lasts(now):
             return self.refuse(ticket, 'overloaded', now, random)
-        return None
+        work_s = self.work.typical_s(ticket)
+        left_s = ticket.need.deadline_at - now - work_s
+        if not ticket.waits_late:
+            ticket.waits_late = queued_s <= LATE_SHARE * left_s
+        if ticket.waits_late and left_s > FAST_WAIT_S:
+            return None
+        if ticket.waits_late and best is not None:
+            return self.grant(ticket, best, finish_s, now)
+        return self.refuse(ticket, 'overloaded', now, random)
 
     def may_wait(self, ticket: Ticket, wait_s: float, spare_s: float) -> bool:
-        """Tells whether a ticket waits for a slot.
+        """Tells whether a ticket that can be in time waits for a slot.
 
         The bound for a new ticket is below that for one that waits already,
         so that few are refused after they have waited.
         """
-        if spare_s <= 0.0:
-            return False
         if ticket.waits:
             return wait_s <= spare_s + PATIENCE * (
                 ticket.need.objective_at - ticket.arrived_at
@@ -333,23 +386,53 @@
     ) -> Refusal:
         """Refuses with the time after which a slot is to be expected.
 
-        The time is spread, so that refused callers come back apart.
+        That is when the backlog has been worked off, or when an overload is
+        likely to have ended. The time is spread, so that refused callers
+        come back apart.
         """
         wait_s = NO_SERVER_RETRY_AFTER_S
         if self.servers:
             ahead = len(self.queue)
-            wait_s = self.expected_wait_s(ticket, ahead, now)
-        wait_s = max(MIN_RETRY_AFTER_S, wait_s) * random.uniform(1.0, 1.5)
+            wait_s = self.expected_wait_s(ticket, ahead)
+        wait_s = max(MIN_RETRY_AFTER_S, wait_s, self.overload.rest_s(now))
+        wait_s *= random.uniform(1.0, 1.5)
         return Refusal(ticket.key, reason, wait_s, len(self.queue))
 
-    def expected_wait_s(self, ticket: Ticket, ahead: int, now: float) -> float:
-        """Returns the wait for a slot behind some other tickets."""
+    def expected_wait_s(self, ticket: Ticket, ahead: int) -> float:
+        """Returns the wait for a slot at a fast server.
+
+        Args:
+            ticket: The ticket.
+            ahead: Tickets that are served before it.
+        """
+        return (ahead + 1) * self.work.mean_s(ticket) / self.fast_slots
+
+    def count_fast_slots(self, now: float) -> float:
+        """Returns the slots that are at fast servers, on average."""
         slots = sum(
             server.usable_slots
             for server in self.servers.values()
             if now >= server.blocked_until and not server.silent
         )
-        return (ahead + 1) * self.work.mean_s(ticket) / max(1, slots)
+        return max(1.0, slots * self.fast_share)
+
+    def note_speeds(self, now: float) -> None:
+        """Follows the share of fast servers, which a moment says little of.
+
+        All servers may be slow at once and fast again right after.
+        """
+        recent = [
+            server.load.slowdown < SLOW_FACTOR
+            for server in self.servers.values()
+            if server.load is not None
+            and server.load_age_s(now) <= SPEED_VALID_S
+        ]
+        passed_s = now - self.speeds_at
+        self.speeds_at = now
+        if recent:
+            weight = min(1.0, passed_s / SPEED_MEAN_S)
+            share = sum(recent) / len(recent)
+            self.fast_share += weight * (share - self.fast_share)
 
     def report(self, report: Report, now: float) -> None:
         """Takes in how a lease ended."""
--- /dev/null
+++ b/cowslipmill/lending/overload.py
@@ -0,0 +1,48 @@
+"""Since when a service gets more work than it can do in time.
+
+Answers the load pattern of a rush: while it lasts, work that is late makes
+room for work that can be in time, and callers are told to come back when it
+is likely to be over.
+"""
+
+# An overload ends when no work was refused for this long, a few times the
+# pause between refusals in a light one.
+CALM_S = 0.25
+# Longest wait told, a third of the patience of the users' callers.
+MAX_REST_S = 1.5
+
+
+class Overload:
+    """The present overload, if there is one.
+
+    Attributes:
+        since: When it began.
+        refused_at: When work was last refused for it.
+    """
+
+    __slots__ = ('refused_at', 'since')
+
+    def __init__(self) -> None:
+        """Starts calm."""
+        self.since = float('-inf')
+        self.refused_at = float('-inf')
+
+    def note(self, now: float) -> None:
+        """Takes in that work which could be in time is refused."""
+        if not self.lasts(now):
+            self.since = now
+        self.refused_at = now
+
+    def lasts(self, now: float) -> bool:
+        """Tells whether there is an overload."""
+        return now - self.refused_at <= CALM_S
+
+    def rest_s(self, now: float) -> float:
+        """Returns how long it is likely to go on.
+
+        An overload of unknown cause is expected to last as long again as it
+        has lasted.
+        """
+        if not self.lasts(now):
+            return 0.0
+        return min(MAX_REST_S, now - self.since)
--- a/cowslipmill/lending/tests/test_home.py
+++ b/cowslipmill/lending/tests/test_home.py
@@ -92,11 +92,24 @@
     late = make_ticket(1, objective_s=0.1, deadline_s=9.0, priority=0)
     in_time = make_ticket(2, now=0.2, objective_s=0.5)
     tell_load(home.servers['server-0'], 0.2)
-    (grant, refusal) = decide(home, random, late, in_time, now=0.2)
+    (grant,) = decide(home, random, late, in_time, now=0.2)
     assert_that(grant, IsInstance(Grant))
     assert isinstance(grant, Grant)
     assert_that(grant.key, Equals(in_time.key))
-    assert_that(refusal, IsInstance(Refusal))
+    assert_that(home.queue, Equals([late]))
+
+
+def test_late_work_is_refused_at_once_while_other_work_is(
+    random: Random,
+) -> None:
+    home = make_home(1, slots=1)
+    late = make_ticket(1, objective_s=0.1, deadline_s=9.0, priority=0)
+    tickets = [make_ticket(n, now=0.2, objective_s=0.3) for n in range(2, 9)]
+    tell_load(home.servers['server-0'], 0.2)
+    decisions = decide(home, random, late, *tickets, now=0.2)
+    refused = {d.key for d in decisions if isinstance(d, Refusal)}
+    assert_that(late.key in refused, Equals(True))
+    assert_that(len(refused), GreaterThan(1))
 
 
 def test_a_server_that_stays_slow_is_used(random: Random) -> None:
--- a/cowslipmill/lending/tests/test_worst_load.py
+++ b/cowslipmill/lending/tests/test_worst_load.py
@@ -25,6 +25,7 @@
 STEP_S = 0.01
 WORK_S = 0.1
 OBJECTIVE_S = 0.3
+DEADLINE_S = 1.5
 SERVERS = 6
 SLOTS = 2
 CAPACITY_PER_S = SERVERS * SLOTS / WORK_S
@@ -46,9 +47,10 @@
         self.now = 0.0
         self.number = 0
         self.ends: list[tuple[float, int, str, int]] = []
-        self.returns: list[tuple[float, int]] = []
+        self.returns: list[tuple[float, int, float]] = []
         self.left: dict[int, int] = {}
         self.arrived: dict[int, float] = {}
+        self.first: dict[int, float] = {}
         self.served: dict[int, int] = {}
         self.refused: list[float] = []
         self.slow_until: dict[str, float] = {}
@@ -64,17 +66,23 @@
             owed += rate_per_s * STEP_S
             while owed >= 1.0:
                 owed -= 1.0
-                self.arrive(self.retries)
+                self.arrive(self.retries, self.now)
             while self.returns and self.returns[0][0] <= self.now:
-                self.arrive(heappop(self.returns)[1])
+                self.arrive(*heappop(self.returns)[1:])
             self.decide()
 
-    def arrive(self, retries: int) -> None:
-        """Has a caller send a request."""
+    def arrive(self, retries: int, first_at: float) -> None:
+        """Has a caller send a request; its latency counts from its first."""
         self.number += 1
         self.left[self.number] = retries
         self.arrived[self.number] = self.now
-        ticket = make_ticket(self.number, self.now, objective_s=OBJECTIVE_S)
+        self.first[self.number] = first_at
+        ticket = make_ticket(
+            self.number,
+            self.now,
+            objective_s=OBJECTIVE_S - (self.now - first_at),
+            deadline_s=DEADLINE_S - (self.now - first_at),
+        )
         self.home.push(ticket)
 
     def finish_work(self) -> None:
@@ -89,7 +97,7 @@
                 ),
                 self.now,
             )
-            if at - self.arrived[number] <= OBJECTIVE_S:
+            if at - self.first[number] <= OBJECTIVE_S:
                 second = int(self.now)
                 self.served[second] = self.served.get(second, 0) + 1
 
@@ -114,9 +122,15 @@
                 heappush(self.ends, end)
             else:
                 self.refused.append(self.now - self.arrived[number])
-                if self.left[number]:
-                    at = self.now + decision.retry_after_s
-                    heappush(self.returns, (at, self.left[number] - 1))
+                self.come_back(number, decision.retry_after_s)
+
+    def come_back(self, number: int, retry_after_s: float) -> None:
+        """Has a refused caller come back within a third of its time left."""
+        first_at = self.first[number]
+        left_s = first_at + DEADLINE_S - self.now
+        if self.left[number] and left_s > 0.0:
+            at = self.now + min(retry_after_s, left_s / 3)
+            heappush(self.returns, (at, self.left[number] - 1, first_at))
 
     def goodput(self, first: int, last: int) -> float:
         """Returns answers within the objective a second, as capacity."""
--- a/cowslipmill/lending/ticket.py
+++ b/cowslipmill/lending/ticket.py
@@ -32,6 +32,7 @@
         next_ask_at: When other failure domains may be asked next.
         asking: Whether other failure domains are being asked.
         waits: Whether it was admitted to wait for a slot.
+        waits_late: Whether it was admitted although it will be late.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'need',
         'next_ask_at',
         'waits',
+        'waits_late',
     )
 
     def __init__(self, key: TicketKey, need: Need, arrived_at: float) -> None:
@@ -51,6 +53,7 @@
         self.next_ask_at = 0.0
         self.asking = False
         self.waits = False
+        self.waits_late = False
 
 
 class Grant(Struct, frozen=True, array_like=True, tag='grant'):
