Let hosts that start learn from others before they read the store

Ruled out: larger pages, which the store decides. Change: a host asks the seeds first, for 50 ms; when all start for the first time, for a time between 0.2 and 2 s that differs between hosts, long before callers come. Before: six hosts of the test read the store six times.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -53,6 +53,13 @@
 # Time before the platform's kill by which everything has ended.
 KILL_MARGIN_S = 0.4
 DRAIN_CHECK_S = 0.05
+# Time in which a host that starts learns from others before it reads the
+# store itself: a call to a seed takes a few milliseconds. When every host
+# starts for the first time there are seconds until callers come, so that few
+# of them have to read.
+OTHERS_FIRST_S = 0.05
+FIRST_START_S = (0.2, 2.0)
+OTHERS_CHECK_S = 0.01
 
 
 class Host(Service):
@@ -81,6 +88,7 @@
         clock: Callable[[], float] = get_running_loop().time
         self.clock = clock
         random = Random()
+        self.random = random
         self.view = View(leaving_s=settings.leaving_s)
         self.reader = StoreReader(settings.store, store, self.view, clock)
         self.turn = ReadTurn()
@@ -203,6 +211,7 @@
     @Service.task
     async def follow_store(self) -> None:
         """Reads the store whenever it is this host's turn."""
+        await self.learn_from_others()
         while not self.should_stop:
             now = self.clock()
             due_at = self.turn.next_at(self.view.heard_at, self.read_rank())
@@ -217,6 +226,17 @@
                 self.note_events(reading.changed, 'store')
                 self.gossip.publish(reading)
 
+    async def learn_from_others(self) -> None:
+        """Waits a little for another host's view."""
+        wait_s = OTHERS_FIRST_S
+        if self.settings.first_start:
+            wait_s = self.random.uniform(*FIRST_START_S)
+        until = self.clock() + wait_s
+        while not self.view.revision and self.clock() < until:
+            await sleep(OTHERS_CHECK_S)
+        if self.view.revision:
+            self.turn.follow()
+
     def read_rank(self, name: str = '') -> int:
         """Returns how many hosts read the store before one; else this."""
         name = name or self.settings.name
--- a/cowslipmill/host/tests/conftest.py
+++ b/cowslipmill/host/tests/conftest.py
@@ -74,7 +74,9 @@
         )
         return backend
 
-    async def add_host(self, domain: str = DOMAINS[0]) -> Host:
+    async def add_host(
+        self, domain: str = DOMAINS[0], *, first_start: bool = False
+    ) -> Host:
         """Starts a host that knows the first one as its seed."""
         seeds = tuple(h.settings.peer_listen for h in self.hosts[:1])
         number = len(self.hosts)
@@ -94,7 +96,7 @@
             retry_share=0.2,
             retry_reserve=64.0,
             leaving_s=2.0,
-            first_start=True,
+            first_start=first_start,
         )
         host = Host(
             settings,
--- a/cowslipmill/host/tests/test_fleet.py
+++ b/cowslipmill/host/tests/test_fleet.py
@@ -187,3 +187,21 @@
     await large_fleet.until_ready()
     await sleep(0.3)
     assert_that(max(told, default=0), Equals(0))
+
+
+async def test_hosts_that_start_learn_from_one_that_has_read(
+    large_fleet: Fleet,
+) -> None:
+    await large_fleet.add_host()
+    await large_fleet.add_host(DOMAINS[1])
+    await large_fleet.until_ready()
+    assert_that(large_fleet.store.calls['/api/kv-range'], Equals(1))
+
+
+async def test_a_host_without_others_reads_by_itself_at_a_first_start(
+    empty_fleet: Fleet,
+) -> None:
+    empty_fleet.store.put('op/config', configuration(1))
+    await empty_fleet.add_backend('one')
+    await empty_fleet.add_host(first_start=True)
+    await empty_fleet.until_ready()
--- a/cowslipmill/view/turns.py
+++ b/cowslipmill/view/turns.py
@@ -56,6 +56,10 @@
         pause_s = min(MAX_PAUSE_S, doubled_s)
         return max(due_at, self.failed_at + pause_s)
 
+    def follow(self) -> None:
+        """Takes in that other hosts read for this one."""
+        self.reading = False
+
     def begin(self) -> None:
         """Takes in that a call begins."""
         self.yielded = False
