--- a/cowslipmill/fleet/rpc.py
+++ b/cowslipmill/fleet/rpc.py
@@ -32,16 +32,16 @@
     """
 
     def __init__(
-        self, settings: HostSettings, key: str, random: Random
+        self, settings: HostSettings, deployment: str, random: Random
     ) -> None:
         """Makes server and links; nothing starts yet."""
         super().__init__()
         codec = frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
         host, port = settings.peer_listen
         self.handlers: dict[type, Handler] = {}
-        self.links = PeerLinks(settings.name, (key,), codec, random)
+        self.links = PeerLinks(settings.name, (deployment,), codec, random)
         self.server = PeerServer(
-            f'{host}:{port}', 'peer_listen', (key,), codec, self.handle
+            f'{host}:{port}', 'peer_listen', (deployment,), codec, self.handle
         )
 
     async def on_start(self) -> None:
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -14,6 +14,7 @@
 from cowslipmill.forwarding.resting import Resting
 from cowslipmill.http1.message import Answer
 from cowslipmill.http1.pool import ConnectionPool
+from cowslipmill.http1.pool import MAX_IDLE
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
@@ -26,6 +27,8 @@
 
 # Set-up of a connection takes about 3 ms to another failure domain.
 CONNECT_TIMEOUT_S = 0.2
+# Idle connections take one in this many of those that a server accepts.
+IDLE_PART = 2
 
 OPENED = Counter(
     'cowslipmill_host_server_connections_total',
@@ -128,6 +131,19 @@
         self.clock = clock
         self.pool = ConnectionPool()
 
+    def most_idle(self, service: str) -> int:
+        """Returns how many idle connections to keep to each server.
+
+        The idle ones of all hosts leave half of what a server accepts to
+        the requests under way.
+        """
+        configured = self.view.services.get(service)
+        if configured is None:
+            return MAX_IDLE
+        hosts = len(self.lender.roster.hosts)
+        share = configured.max_connections // (IDLE_PART * hosts)
+        return max(1, min(MAX_IDLE, share))
+
     def find(self, grant: Grant) -> ServerRecord | None:
         """Returns the server of a grant if it still takes work."""
         known = self.view.servers.get(grant.server)
@@ -225,5 +241,6 @@
             if self.clock() >= flight.give_up_at:
                 self.pool.drop(server.address)
             raise
-        self.pool.put(server.address, connection)
+        most = self.most_idle(server.service)
+        self.pool.put(server.address, connection, most=most)
         return Sent(server.name, self.dialect.judge(answer), answer)
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -77,7 +77,7 @@
         store: StoreCalls,
         dialect: Dialect,
         *,
-        peer_key: str,
+        deployment: str,
         metrics_port: int,
     ) -> None:
         """Makes the parts; nothing starts yet."""
@@ -99,7 +99,7 @@
             time_ns() // 1_000_000,
         )
         self.roster = Roster(own)
-        self.rpc = Rpc(settings, peer_key, random)
+        self.rpc = Rpc(settings, deployment, random)
         self.gossip = Gossip(
             self.roster,
             self.view,
--- a/cowslipmill/host/main.py
+++ b/cowslipmill/host/main.py
@@ -41,7 +41,9 @@
 FILE_CHECK_S = 2.0
 
 flags.DEFINE_string(
-    'peer_key', 'cowslipmill', 'Key by which hosts of a deployment join.'
+    'deployment',
+    'default',
+    'Name of the deployment; hosts of another one are refused.',
 )
 flags.DEFINE_integer('metrics_port', 0, 'Port of the counters; 0 for none.')
 
@@ -81,7 +83,7 @@
         settings,
         Store(f'{host_name}:{port}'),
         PlatformDialect(),
-        peer_key=FLAGS.peer_key,
+        deployment=FLAGS.deployment,
         metrics_port=FLAGS.metrics_port,
     )
 
--- a/cowslipmill/host/tests/conftest.py
+++ b/cowslipmill/host/tests/conftest.py
@@ -102,7 +102,7 @@
             settings,
             Store('store'),
             PlatformDialect(),
-            peer_key='key',
+            deployment='tests',
             metrics_port=0,
         )
         await host.start()
--- a/cowslipmill/http1/pool.py
+++ b/cowslipmill/http1/pool.py
@@ -49,13 +49,25 @@
             connection.close()
         return None
 
-    def put(self, address: Address, connection: ServerConnection) -> None:
-        """Keeps a connection whose exchange ended well."""
+    def put(
+        self,
+        address: Address,
+        connection: ServerConnection,
+        *,
+        most: int = MAX_IDLE,
+    ) -> None:
+        """Keeps a connection whose exchange ended well.
+
+        Args:
+            address: The server's address.
+            connection: The connection.
+            most: Idle connections to keep to that server.
+        """
         if not connection.usable:
             connection.close()
             return
         idle = self.idle.setdefault(address, deque())
-        if len(idle) >= MAX_IDLE:
+        while len(idle) >= most:
             idle.popleft().close()
         idle.append(connection)
 
--- a/cowslipmill/lending/lender.py
+++ b/cowslipmill/lending/lender.py
@@ -100,10 +100,9 @@
         desk.home.others = failure_domain == self.domain and any(
             entry.record.failure_domain != failure_domain for entry in known
         )
-        configuration = self.view.configuration
-        for entry in configuration.services if configuration else ():
-            if entry.name == service:
-                desk.health_path = entry.health_path
+        configured = self.view.services.get(service)
+        if configured is not None:
+            desk.health_path = configured.health_path
 
     async def acquire(self, need: Need) -> Grant | Refusal:
         """Returns a slot at a server, or why there is none."""
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -13,6 +13,7 @@
 
 from cowslipmill.peers.codec import Malformed
 from cowslipmill.view.configuration import Configuration
+from cowslipmill.view.configuration import Service
 from cowslipmill.view.events import ConfigurationSet
 from cowslipmill.view.events import Event
 from cowslipmill.view.events import ServerRemoved
@@ -80,6 +81,7 @@
     Attributes:
         leaving_s: How long a leaving server goes on serving.
         configuration: The highest version seen, or None.
+        services: Its services by name.
         servers: Servers by name, also those whose entry just vanished.
         removed: Revision at which a server's entry vanished, by name.
         revision: The store's revision that the view holds.
@@ -93,6 +95,7 @@
         """Starts without knowledge."""
         self.leaving_s = leaving_s
         self.configuration: Configuration | None = None
+        self.services: dict[str, Service] = {}
         self.servers: dict[str, KnownServer] = {}
         self.removed: dict[str, int] = {}
         self.revision = 0
@@ -136,6 +139,8 @@
         if known is not None and event.configuration.version <= known.version:
             return False
         self.configuration = event.configuration
+        services = event.configuration.services
+        self.services = {service.name: service for service in services}
         return True
 
     @take.register
