Start no work at a server that would finish it after its deadline

Only passing slowness was looked at for late work. Change: late work takes a server only if it finishes before the deadline there, and a slow one only at the last moment at which that holds.

--- a/cowslipmill/lending/home.py
+++ b/cowslipmill/lending/home.py
@@ -287,21 +287,22 @@
     ) -> Decision | None:
         """Returns the decision about a ticket that can't be in time.
 
-        It takes a fast server, or the last one before its deadline. While
-        others are refused, it makes room for those that can be in time.
+        It takes a fast server, or the last one that can finish before its
+        deadline. While others are refused, it makes room for those that can
+        be in time.
         """
-        if best is not None and not is_passing_slow(best, now):
-            return self.grant(ticket, best, finish_s, now)
+        patience_s = ticket.need.deadline_at - now
+        if best is not None and finish_s <= patience_s:
+            last_chance = patience_s - finish_s < FAST_WAIT_S
+            if last_chance or not is_passing_slow(best, now):
+                return self.grant(ticket, best, finish_s, now)
         if self.overload.lasts(now):
             return self.refuse(ticket, 'overloaded', now, random)
-        work_s = self.work.typical_s(ticket)
-        left_s = ticket.need.deadline_at - now - work_s
+        left_s = patience_s - self.work.typical_s(ticket)
         if not ticket.waits_late:
             ticket.waits_late = queued_s <= LATE_SHARE * left_s
-        if ticket.waits_late and left_s > FAST_WAIT_S:
+        if ticket.waits_late and left_s > 0.0:
             return None
-        if ticket.waits_late and best is not None:
-            return self.grant(ticket, best, finish_s, now)
         return self.refuse(ticket, 'overloaded', now, random)
 
     def may_wait(self, ticket: Ticket, wait_s: float, spare_s: float) -> bool:
