--- /dev/null
+++ b/cowslipmill/lending/admission.py
@@ -0,0 +1,47 @@
+"""Whether a ticket waits for a slot or is refused at once.
+
+Answers the load pattern in which more work arrives than can be done in time:
+a queue that is longer than the time to spare helps nobody.
+"""
+
+from cowslipmill.lending.ticket import Ticket
+
+# Share of the time to spare that the expected wait of a new ticket may take.
+ADMITTED_SHARE = 0.85
+# Share of the objective by which the wait of an admitted ticket may exceed
+# its time to spare, since waits vary.
+PATIENCE = 0.25
+# Share of its time left that the expected wait of late work may take, since
+# it gets only what the rest leaves over.
+LATE_SHARE = 0.25
+
+
+def may_wait(ticket: Ticket, wait_s: float, spare_s: float) -> bool:
+    """Tells whether a ticket that can be in time waits for a slot.
+
+    The bound for a new ticket is below that for one that waits already, so
+    that few are refused after they have waited.
+
+    Args:
+        ticket: The ticket, which remembers that it was admitted.
+        wait_s: Expected wait.
+        spare_s: How long it may wait and still be in time.
+    """
+    if ticket.waits:
+        objective_s = ticket.need.objective_at - ticket.arrived_at
+        return wait_s <= spare_s + PATIENCE * objective_s
+    ticket.waits = wait_s <= ADMITTED_SHARE * spare_s
+    return ticket.waits
+
+
+def may_wait_late(ticket: Ticket, queued_s: float, left_s: float) -> bool:
+    """Tells whether a ticket that will be late waits for a slot.
+
+    Args:
+        ticket: The ticket, which remembers that it was admitted.
+        queued_s: Expected wait behind those before it.
+        left_s: How long it may wait and still meet its deadline.
+    """
+    if not ticket.waits_late:
+        ticket.waits_late = queued_s <= LATE_SHARE * left_s
+    return ticket.waits_late and left_s > 0.0
--- a/cowslipmill/lending/desk.py
+++ b/cowslipmill/lending/desk.py
@@ -119,8 +119,7 @@
             _, pending = await wait(
                 pending, timeout=left_s, return_when=FIRST_COMPLETED
             )
-            good = self.home.count_known_good(self.clock())
-            if good >= len(self.home.queue):
+            if self.home.knows_enough(self.clock()):
                 return
 
     async def ask_server(self, server: ServerSlots) -> None:
--- a/cowslipmill/lending/home.py
+++ b/cowslipmill/lending/home.py
@@ -11,14 +11,18 @@
 from collections.abc import Iterable
 from random import Random
 
+from cowslipmill.lending.admission import may_wait
+from cowslipmill.lending.admission import may_wait_late
+from cowslipmill.lending.backlog import Backlog
 from cowslipmill.lending.estimate import expected_finish_s
 from cowslipmill.lending.estimate import is_passing_slow
 from cowslipmill.lending.estimate import risk_s
-from cowslipmill.lending.estimate import was_slow
 from cowslipmill.lending.overload import Overload
+from cowslipmill.lending.sampling import count_known_good
+from cowslipmill.lending.sampling import FRESH_S
+from cowslipmill.lending.sampling import pick_to_ask
 from cowslipmill.lending.slots import Lease
 from cowslipmill.lending.slots import ServerSlots
-from cowslipmill.lending.slots import SLOW_FACTOR
 from cowslipmill.lending.ticket import AskElsewhere
 from cowslipmill.lending.ticket import Decision
 from cowslipmill.lending.ticket import Grant
@@ -29,21 +33,10 @@
 from cowslipmill.lending.worktime import WorkTimes
 from cowslipmill.view.server import ServerRecord
 
-# Load reports older than this are asked for anew before a grant: in 1 ms of
-# 150 a server that was fast becomes slow.
-FRESH_S = 0.002
 # A ticket that has waited this long is served by reports of servers that are
 # too far away to answer within one decision, up to this age.
 FAR_WAIT_S = 0.03
 FAR_REPORT_S = 0.1
-# Pause between questions to servers that tell no load.
-NO_LOAD_RECHECK_S = 1.0
-# Servers asked for one decision, and one more for each ticket that waits:
-# while a quarter of the servers are slow, one of three is fast in 98 of 100.
-FEWEST_ASKED = 2
-MOST_ASKED = 12
-# Pause between questions to servers that are full by the last report.
-FULL_RECHECK_S = 0.1
 # Slack after a deadline until a lease counts as lost.
 EXPIRY_SLACK_S = 1.0
 # Expected wait until a server with a free slot is fast again, less than the
@@ -61,19 +54,7 @@
 NO_SERVER_RETRY_AFTER_S = 0.5
 # Work that takes this much longer than usual still meets the objective.
 WORK_MARGIN = 1.1
-# Share of the time to spare that the expected wait of a new ticket may take.
-ADMITTED_SHARE = 0.85
-# Share of the objective by which the wait of an admitted ticket may exceed
-# its time to spare, since waits vary.
-PATIENCE = 0.25
-# Share of its time left that the expected wait of late work may take, since
-# it gets only what the rest leaves over.
-LATE_SHARE = 0.25
 MAX_WAITING = 2_048
-# Reports younger than this tell the share of fast servers: a few slow times.
-SPEED_VALID_S = 0.5
-# Time over which that share is averaged, several slow times.
-SPEED_MEAN_S = 1.0
 
 
 class Home:
@@ -87,21 +68,17 @@
         overload: Since when work that could be in time is refused.
         others: Whether other failure domains may be asked.
         asked_at: When servers were asked for the present decision.
-        fast_share: Share of the servers that are fast, on average.
-        speeds_at: When that was last brought up to date.
-        fast_slots: Slots at fast servers as of the present decision.
+        backlog: The slots that work off what waits.
     """
 
     __slots__ = (
         'asked_at',
+        'backlog',
         'failure_domain',
-        'fast_share',
-        'fast_slots',
         'others',
         'overload',
         'queue',
         'servers',
-        'speeds_at',
         'work',
     )
 
@@ -114,9 +91,7 @@
         self.overload = Overload()
         self.others = False
         self.asked_at = 0.0
-        self.fast_share = 1.0
-        self.fast_slots = 1.0
-        self.speeds_at = 0.0
+        self.backlog = Backlog()
 
     def set_servers(
         self, records: Iterable[tuple[ServerRecord, bool]], now: float
@@ -139,49 +114,14 @@
         self.servers = servers
 
     def servers_to_ask(self, now: float, random: Random) -> list[ServerSlots]:
-        """Returns the servers to ask for their load before a decision.
+        """Returns the servers to ask for their load before a decision."""
+        servers = self.servers.values()
+        return pick_to_ask(servers, len(self.queue), now, random)
 
-        None if enough are known to be fast and free; else a sample of those
-        that may be, so that the cost of a decision doesn't grow with the
-        service.
-        """
-        wanted = len(self.queue)
-        if self.count_known_good(now) >= wanted:
-            return []
-        stale = [
-            server
-            for server in self.servers.values()
-            if now >= server.blocked_until and self.is_stale(server, now)
-        ]
-        stale.sort(
-            key=lambda server: (
-                server.free(now) <= 0,
-                server.silent > 0,
-                was_slow(server, now),
-                server.occupancy(now) / server.record.slots,
-                random.random(),
-            )
-        )
-        return stale[: min(MOST_ASKED, FEWEST_ASKED + wanted)]
-
-    def count_known_good(self, now: float) -> int:
-        """Returns how many slots are known to be free at fast servers."""
-        return sum(
-            max(0, server.free(now))
-            for server in self.servers.values()
-            if server.load_age_s(now) <= FRESH_S
-            and now >= server.blocked_until
-            and not is_passing_slow(server, now)
-        )
-
-    def is_stale(self, server: ServerSlots, now: float) -> bool:
-        """Tells whether a server's report is too old to decide by."""
-        age_s = server.load_age_s(now)
-        if server.tells_load is False:
-            return age_s > NO_LOAD_RECHECK_S
-        if server.free(now) > 0:
-            return age_s > FRESH_S
-        return age_s > FULL_RECHECK_S
+    def knows_enough(self, now: float) -> bool:
+        """Tells whether each ticket that waits has a slot at a fast server."""
+        good = count_known_good(self.servers.values(), now)
+        return good >= len(self.queue)
 
     def push(self, ticket: Ticket) -> None:
         """Queues a ticket behind those of its rank."""
@@ -209,8 +149,7 @@
         self.asked_at = now if asked_at is None else asked_at
         for server in self.servers.values():
             server.expire(now)
-        self.note_speeds(now)
-        self.fast_slots = self.count_fast_slots(now)
+        self.backlog.update(self.servers.values(), now)
         decisions: list[Decision] = []
         waiting: list[Ticket] = []
         # Work that is late already yields to work that isn't.
@@ -251,7 +190,8 @@
         if best is not None and finish_s <= left_s:
             if not slow or left_s - finish_s < FAST_WAIT_S:
                 return self.grant(ticket, best, finish_s, now)
-        wait_s = self.expected_wait_s(ticket, ahead)
+        mean_s = self.work.mean_s(ticket)
+        wait_s = self.backlog.wait_s(mean_s, ahead)
         if best is not None:
             wait_s = max(FAST_WAIT_S, wait_s)
         spare_s = self.spare_s(ticket, now)
@@ -264,11 +204,11 @@
         if len(self.queue) > MAX_WAITING or not self.servers:
             return self.refuse(ticket, 'no server', now, random)
         if spare_s > 0.0:
-            if self.may_wait(ticket, wait_s, spare_s):
+            if may_wait(ticket, wait_s, spare_s):
                 return None
             self.overload.note(now)
             return self.refuse(ticket, 'overloaded', now, random)
-        queued_s = self.expected_wait_s(ticket, ahead - 1)
+        queued_s = self.backlog.wait_s(mean_s, ahead - 1)
         return self.decide_late(ticket, best, finish_s, queued_s, now, random)
 
     def spare_s(self, ticket: Ticket, now: float) -> float:
@@ -299,25 +239,10 @@
         if self.overload.lasts(now):
             return self.refuse(ticket, 'overloaded', now, random)
         left_s = patience_s - self.work.typical_s(ticket)
-        if not ticket.waits_late:
-            ticket.waits_late = queued_s <= LATE_SHARE * left_s
-        if ticket.waits_late and left_s > 0.0:
+        if may_wait_late(ticket, queued_s, left_s):
             return None
         return self.refuse(ticket, 'overloaded', now, random)
 
-    def may_wait(self, ticket: Ticket, wait_s: float, spare_s: float) -> bool:
-        """Tells whether a ticket that can be in time waits for a slot.
-
-        The bound for a new ticket is below that for one that waits already,
-        so that few are refused after they have waited.
-        """
-        if ticket.waits:
-            return wait_s <= spare_s + PATIENCE * (
-                ticket.need.objective_at - ticket.arrived_at
-            )
-        ticket.waits = wait_s <= ADMITTED_SHARE * spare_s
-        return ticket.waits
-
     def may_ask(self, ticket: Ticket, now: float) -> bool:
         """Tells whether other failure domains may be asked for a ticket."""
         return self.others and now >= ticket.next_ask_at
@@ -393,48 +318,12 @@
         """
         wait_s = NO_SERVER_RETRY_AFTER_S
         if self.servers:
-            ahead = len(self.queue)
-            wait_s = self.expected_wait_s(ticket, ahead)
+            mean_s = self.work.mean_s(ticket)
+            wait_s = self.backlog.wait_s(mean_s, len(self.queue))
         wait_s = max(MIN_RETRY_AFTER_S, wait_s, self.overload.rest_s(now))
         wait_s *= random.uniform(1.0, 1.5)
         return Refusal(ticket.key, reason, wait_s, len(self.queue))
 
-    def expected_wait_s(self, ticket: Ticket, ahead: int) -> float:
-        """Returns the wait for a slot at a fast server.
-
-        Args:
-            ticket: The ticket.
-            ahead: Tickets that are served before it.
-        """
-        return (ahead + 1) * self.work.mean_s(ticket) / self.fast_slots
-
-    def count_fast_slots(self, now: float) -> float:
-        """Returns the slots that are at fast servers, on average."""
-        slots = sum(
-            server.usable_slots
-            for server in self.servers.values()
-            if now >= server.blocked_until and not server.silent
-        )
-        return max(1.0, slots * self.fast_share)
-
-    def note_speeds(self, now: float) -> None:
-        """Follows the share of fast servers, which a moment says little of.
-
-        All servers may be slow at once and fast again right after.
-        """
-        recent = [
-            server.load.slowdown < SLOW_FACTOR
-            for server in self.servers.values()
-            if server.load is not None
-            and server.load_age_s(now) <= SPEED_VALID_S
-        ]
-        passed_s = now - self.speeds_at
-        self.speeds_at = now
-        if recent:
-            weight = min(1.0, passed_s / SPEED_MEAN_S)
-            share = sum(recent) / len(recent)
-            self.fast_share += weight * (share - self.fast_share)
-
     def report(self, report: Report, now: float) -> None:
         """Takes in how a lease ended."""
         server = self.servers.get(report.server)
--- a/cowslipmill/view/server.py
+++ b/cowslipmill/view/server.py
@@ -26,3 +26,21 @@
     slots: int
     leaving: bool
     warm_up_s: float
+
+
+class KnownServer:
+    """A server in the view.
+
+    Attributes:
+        record: What it last said.
+        revision: Revision of its entry.
+        lapsed_at: When its entry vanished, or None.
+    """
+
+    __slots__ = ('lapsed_at', 'record', 'revision')
+
+    def __init__(self, record: ServerRecord, revision: int) -> None:
+        """Keeps the record."""
+        self.record = record
+        self.revision = revision
+        self.lapsed_at: float | None = None
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -18,24 +18,17 @@
 from cowslipmill.view.events import Event
 from cowslipmill.view.events import ServerRemoved
 from cowslipmill.view.events import ServerSet
+from cowslipmill.view.lapse import find_gone
 from cowslipmill.view.packed import pack
 from cowslipmill.view.packed import PackedConfiguration
 from cowslipmill.view.packed import unpack
+from cowslipmill.view.server import KnownServer
 from cowslipmill.view.server import ServerRecord
 
 LOG = getLogger(__name__)
 
 # Time for which a leaving server goes on serving, unless settings say more.
 LEAVING_S = 2.0
-# Share of that time for which a server whose entry vanished without notice is
-# used if nothing better is free.
-LAPSE_SHARE = 0.6
-# The same when most of a service's entries vanish at once, since the store
-# was away: they are back within 2 s or gone.
-MASS_LAPSE_S = 2.2
-MASS_LAPSE_SHARE = 0.5
-MASS_LAPSE_COUNT = 3
-MASS_LAPSE_WINDOW_S = 2.0
 MAX_REMOVED = 4_096
 
 
@@ -57,24 +50,6 @@
     removed: tuple[tuple[str, int], ...]
 
 
-class KnownServer:
-    """A server in the view.
-
-    Attributes:
-        record: What it last said.
-        revision: Revision of its entry.
-        lapsed_at: When its entry vanished, or None.
-    """
-
-    __slots__ = ('lapsed_at', 'record', 'revision')
-
-    def __init__(self, record: ServerRecord, revision: int) -> None:
-        """Keeps the record."""
-        self.record = record
-        self.revision = revision
-        self.lapsed_at: float | None = None
-
-
 class View:
     """The newest configuration and the servers.
 
@@ -230,50 +205,13 @@
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Drops servers whose entries didn't come back in time."""
-        lapsed = {
-            name: known.lapsed_at
-            for name, known in self.servers.items()
-            if known.lapsed_at is not None
-        }
-        if not lapsed:
-            return []
-        emptied = self.emptied_services(now)
-        gone = []
-        for name, lapsed_at in lapsed.items():
-            bound_s = LAPSE_SHARE * self.leaving_s
-            if self.servers[name].record.service in emptied:
-                bound_s = MASS_LAPSE_S
-            if now - lapsed_at > bound_s:
-                gone.append(name)
+        gone = find_gone(self.servers, self.leaving_s, now)
         for name in gone:
             del self.servers[name]
         if gone:
             self.changes += 1
         return gone
 
-    def emptied_services(self, now: float) -> set[str]:
-        """Returns the services most of whose entries have just vanished.
-
-        Servers that leave do so a few at a time, so that this tells an
-        outage of the store from a planned change.
-        """
-        known: dict[str, int] = {}
-        vanished: dict[str, int] = {}
-        for entry in self.servers.values():
-            service = entry.record.service
-            known[service] = known.get(service, 0) + 1
-            lapsed_at = entry.lapsed_at
-            if lapsed_at is not None and (
-                lapsed_at > now - MASS_LAPSE_WINDOW_S
-            ):
-                vanished[service] = vanished.get(service, 0) + 1
-        return {
-            service
-            for service, count in vanished.items()
-            if count >= MASS_LAPSE_COUNT
-            and count >= MASS_LAPSE_SHARE * known[service]
-        }
-
     def snapshot(
         self, now: float, *, since: int = 0, version: int = 0
     ) -> Snapshot:
