Have work that will be late yield as late work does

Cause: the queue put only work behind whose objective had passed; work that can't be in time any more but isn't late yet went before work that can. Change: the order follows the time to spare, as the admission does.

--- a/cowslipmill/lending/home.py
+++ b/cowslipmill/lending/home.py
@@ -152,10 +152,10 @@
         self.backlog.update(self.servers.values(), now)
         decisions: list[Decision] = []
         waiting: list[Ticket] = []
-        # Work that is late already yields to work that isn't.
+        # Work that can't be in time yields to work that can.
         self.queue.sort(
             key=lambda ticket: (
-                now >= ticket.need.objective_at,
+                self.spare_s(ticket, now) <= 0.0,
                 rank_of(ticket),
             )
         )
--- a/cowslipmill/lending/tests/test_home.py
+++ b/cowslipmill/lending/tests/test_home.py
@@ -99,6 +99,16 @@
     assert_that(home.queue, Equals([late]))
 
 
+def test_work_that_will_be_late_yields_too(random: Random) -> None:
+    home = make_home(1, slots=1)
+    home.work.record('read', 0.2)
+    first = make_ticket(1, objective_s=0.1, deadline_s=9.0, priority=0)
+    in_time = make_ticket(2, objective_s=0.5)
+    (grant,) = decide(home, random, first, in_time)
+    assert isinstance(grant, Grant)
+    assert_that(grant.key, Equals(in_time.key))
+
+
 def test_late_work_is_refused_at_once_while_other_work_is(
     random: Random,
 ) -> None:
