--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -35,6 +35,8 @@
 CALL_TIMEOUT_S = 0.6
 # Bound of a call for a view: 60 KB for 340 servers over a busy 10 Mbit/s link.
 SNAPSHOT_TIMEOUT_S = 1.0
+# Routes that a change may hold: some 10 KB, as they aren't compressed.
+MAX_ROUTES_TOLD = 64
 # Pause between two comparisons with a host of the own failure domain.
 COMPARE_INTERVAL_S = 1.0
 # One comparison in so many of a relay goes to any failure domain.
@@ -302,10 +304,13 @@
     ) -> ConfigurationChange | PackedConfiguration | None:
         """Returns the configuration as news, as a change if that is known.
 
-        A host that has another version than the one before asks for it.
+        A host that has another version than the one before asks for it. A
+        change of many routes is larger than the whole, which is compressed.
         """
         change = self.view.configuration_change()
-        return change or self.view.packed_configuration()
+        if change is not None and len(change.routes) <= MAX_ROUTES_TOLD:
+            return change
+        return self.view.packed_configuration()
 
     def say_leaving(self) -> None:
         """Tells the fleet that this host stops."""
--- a/cowslipmill/host/tests/test_fleet.py
+++ b/cowslipmill/host/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from pytest import MonkeyPatch
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 
 from cowslipmill.fleet.gossip import Gossip
@@ -22,7 +23,9 @@
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.platform.configuration import decode_configuration
+from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ConfigurationSet
+from cowslipmill.view.packed import PackedConfiguration
 
 WATCH = '/api/kv-watch'
 
@@ -212,6 +215,21 @@
     assert_that(routes, Equals({('/book/', '/new/', '/read/')}))
 
 
+async def test_many_routes_are_told_compressed_and_few_as_a_change(
+    large_fleet: Fleet,
+) -> None:
+    gossip = large_fleet.hosts[0].gossip
+    many = [route(f'/r{number}/', 'safe') for number in range(200)]
+    for version, routes, kind in (
+        (2, many, PackedConfiguration),
+        (3, [*many, route('/new/', 'safe')], ConfigurationChange),
+    ):
+        large_fleet.store.put('op/config', configuration(version, *routes))
+        expected = [version] * 4
+        await large_fleet.until(lambda: versions(large_fleet) == expected)
+        assert_that(gossip.told_configuration(), IsInstance(kind))
+
+
 async def test_hosts_that_start_learn_from_one_that_has_read(
     fleet: Fleet, monkeypatch: MonkeyPatch
 ) -> None:
