Wait for a request at work, not for one that was sent, in the test of stops

Hosts are taken for up once they know each other, which is before they have read the store; until then they answer 503, and no second run comes. Shown with hosts that begin by waiting for others (first_start): three requests, three times 503 'no configuration'. Change: the test asks until the server works on a request.

--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import get_running_loop
 from asyncio import sleep
+from asyncio import Task
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from signal import SIGCONT
@@ -113,6 +114,21 @@
             Request(b'GET', b'/long/1', headers, b'')
         )
 
+    async def begin(self, host: int) -> Task[Answer]:
+        """Sends requests until the server works on one.
+
+        A host on a busy machine may refuse at first, since it has not heard
+        of the server's load in time.
+        """
+        before = len(self.backend.runs)
+        while True:
+            asked = create_task(self.ask(host))
+            await self.until(
+                lambda: len(self.backend.runs) > before or asked.done()
+            )
+            if len(self.backend.runs) > before:
+                return asked
+
     async def stop_like_the_platform(self, host: int) -> int:
         """Sends SIGTERM, and SIGKILL after the time to stop.
 
@@ -150,10 +166,8 @@
 async def test_frozen_hosts_do_not_hold_a_stop_beyond_the_kill(
     processes: Processes, work_s: float
 ) -> None:
-    await processes.ask(0)
     processes.backend.work_s = work_s
-    asked = create_task(processes.ask(0))
-    await processes.until(lambda: len(processes.backend.runs) == 2)
+    asked = await processes.begin(0)
     for name in ('host-1', 'host-2'):
         processes.launcher.send_signal(name, SIGSTOP)
     status = await processes.stop_like_the_platform(0)
