--- a/cowslipmill/bench/placements.py
+++ b/cowslipmill/bench/placements.py
@@ -3,9 +3,9 @@
 from random import Random
 
 from cowslipmill.bench.replay import Job
-from cowslipmill.bench.replay import Machine
 from cowslipmill.bench.replay import Refused
 from cowslipmill.bench.replay import Replay
+from cowslipmill.bench.replay import SimulatedServer
 from cowslipmill.bench.replay import Started
 from cowslipmill.lending.home import Home
 from cowslipmill.lending.load import Load
@@ -35,7 +35,7 @@
         """Starts without requests."""
         self.replay = replay
         self.waiting: dict[str, list[Job]] = {
-            machine.name: [] for machine in replay.machines
+            server.name: [] for server in replay.servers
         }
         self.counts: dict[tuple[int, str], int] = {}
         self.hosts: dict[int, int] = {}
@@ -43,30 +43,30 @@
     def take(self, job: Job, now: float) -> None:
         """Chooses a server."""
         host = self.replay.random.randrange(HOSTS)
-        machine = min(
-            self.replay.machines,
+        server = min(
+            self.replay.servers,
             key=lambda m: (
                 self.counts.get((host, m.name), 0),
                 self.replay.random.random(),
             ),
         )
-        key = (host, machine.name)
+        key = (host, server.name)
         self.counts[key] = self.counts.get(key, 0) + 1
         self.hosts[job.number] = host
-        self.waiting[machine.name].append(job)
+        self.waiting[server.name].append(job)
 
-    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+    def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Frees the host's place at the server."""
-        self.counts[self.hosts.pop(job.number), machine.name] -= 1
+        self.counts[self.hosts.pop(job.number), server.name] -= 1
 
     def decide(self, now: float) -> list[Started | Refused]:
         """Has servers begin what they have queued."""
         decisions: list[Started | Refused] = []
-        for machine in self.replay.machines:
-            queue = self.waiting[machine.name]
-            free = self.replay.scene.slots - machine.running
+        for server in self.replay.servers:
+            queue = self.waiting[server.name]
+            free = self.replay.scene.slots - server.running
             for job in queue[: max(0, free)]:
-                decisions.append(Started(job, machine))
+                decisions.append(Started(job, server))
             del queue[: max(0, free)]
         return decisions
 
@@ -88,18 +88,18 @@
         """Queues a job."""
         self.queue.append(job)
 
-    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+    def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Needs no report."""
 
     def decide(self, now: float) -> list[Started | Refused]:
         """Starts what a fast server can take."""
         scene = self.replay.scene
         free = {
-            machine.name: scene.slots - machine.running
-            for machine in self.replay.machines
-            if not machine.down and not machine.slow
+            server.name: scene.slots - server.running
+            for server in self.replay.servers
+            if not server.down and not server.slow
         }
-        machines = {m.name: m for m in self.replay.machines}
+        servers = {server.name: server for server in self.replay.servers}
         decisions: list[Started | Refused] = []
         # Jobs that can still be in time go before those that can't.
         self.queue.sort(
@@ -111,7 +111,7 @@
         while self.queue and any(left > 0 for left in free.values()):
             name = max(free, key=lambda name: free[name])
             free[name] -= 1
-            decisions.append(Started(self.queue.pop(0), machines[name]))
+            decisions.append(Started(self.queue.pop(0), servers[name]))
         return decisions
 
 
@@ -123,12 +123,12 @@
         self.replay = replay
         self.random = Random(1)
         self.jobs: dict[int, Job] = {}
-        self.machines = {m.name: m for m in replay.machines}
+        self.servers = {server.name: server for server in replay.servers}
         self.home = Home(DOMAIN)
         self.asked = 0
         records = [
             ServerRecord(
-                name=machine.name,
+                name=server.name,
                 started_ms=1,
                 service=SERVICE,
                 address=('127.0.0.1', 1),
@@ -137,7 +137,7 @@
                 leaving=False,
                 warm_up_s=0.0,
             )
-            for machine in replay.machines
+            for server in replay.servers
         ]
         self.home.set_servers([(record, False) for record in records], 0.0)
 
@@ -154,14 +154,14 @@
         )
         self.home.push(Ticket((HOST, job.number), need, now))
 
-    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+    def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Reports the end of a lease."""
         now = self.replay.now
         key = (HOST, job.number)
-        lease = self.home.servers[machine.name].leases.get(key)
+        lease = self.home.servers[server.name].leases.get(key)
         duration_s = now - lease.granted_at if lease else took_s
         report = Report(
-            key, SERVICE, DOMAIN, machine.name, Result.ANSWERED, duration_s
+            key, SERVICE, DOMAIN, server.name, Result.ANSWERED, duration_s
         )
         self.home.report(report, now)
 
@@ -169,24 +169,23 @@
         """Asks servers and has the home decide."""
         if not self.home.queue:
             return []
-        for server in self.home.servers_to_ask(now, self.random):
+        for known in self.home.servers_to_ask(now, self.random):
             self.asked += 1
-            machine = self.machines[server.name]
-            if machine.down:
-                server.note_silence(now)
+            server = self.servers[known.name]
+            if server.down:
+                known.note_silence(now)
                 continue
-            load = Load(
-                machine.running, 0, server.record.slots, machine.slowdown
-            )
-            server.note_load(load, now, now)
+            slots = known.record.slots
+            load = Load(server.running, 0, slots, server.slowdown)
+            known.note_load(load, now, now)
         decisions: list[Started | Refused] = []
         for decision in self.home.decide(now, self.random):
             if isinstance(decision, AskElsewhere):
                 continue
             job = self.jobs.pop(decision.key[1])
             if isinstance(decision, Grant):
-                machine = self.machines[decision.server]
-                decisions.append(Started(job, machine))
+                chosen = self.servers[decision.server]
+                decisions.append(Started(job, chosen))
             else:
                 decisions.append(Refused(job, decision.retry_after_s))
         return decisions
--- a/cowslipmill/bench/replay.py
+++ b/cowslipmill/bench/replay.py
@@ -14,7 +14,7 @@
 
 from msgspec import Struct
 
-# A server's speed is drawn anew after this time, as neighbours on its machine
+# A server's speed is drawn anew after this time, as neighbours on its server
 # come and go.
 NOISE_S = 0.15
 NOISE_SHARE = 0.25
@@ -56,7 +56,7 @@
         return self.servers * self.slots / self.work_s
 
 
-class Machine:
+class SimulatedServer:
     """One simulated server.
 
     Attributes:
@@ -114,7 +114,7 @@
     """A job goes to a server."""
 
     job: Job
-    machine: Machine
+    server: SimulatedServer
 
 
 class Refused(Struct, frozen=True):
@@ -130,7 +130,7 @@
     def take(self, job: Job, now: float) -> None:
         """Takes in a job that has come."""
 
-    def end(self, job: Job, machine: Machine, took_s: float) -> None:
+    def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Takes in that a job has ended at a server."""
 
     def decide(self, now: float) -> list[Started | Refused]:
@@ -141,7 +141,7 @@
     """Plays one scene.
 
     Attributes:
-        machines: The servers.
+        servers: The servers.
         latencies: Time to the answer of each served job, by its caller's
             first request.
         held: For each refusal how long the job was held.
@@ -152,8 +152,9 @@
         """Starts idle."""
         self.scene = scene
         self.random = Random(seed)
-        self.machines = [
-            Machine(f'server-{number}') for number in range(scene.servers)
+        self.servers = [
+            SimulatedServer(f'server-{number}')
+            for number in range(scene.servers)
         ]
         self.now = 0.0
         self.events: list[tuple[float, int, object]] = []
@@ -169,15 +170,15 @@
         """Goes on for some time with new callers at a rate."""
         end = self.now + seconds
         self.schedule(self.now, 'noise')
-        self.schedule(self.now, 'look')
+        self.schedule(self.now, 'recheck')
         self.schedule_arrival(rate_per_s)
         while self.events and self.events[0][0] < end:
             self.now, _, event = heappop(self.events)
             if event == 'arrival':
                 self.schedule_arrival(rate_per_s)
                 self.take_new(placement)
-            elif event == 'look':
-                self.schedule(self.now + RECHECK_S, 'look')
+            elif event == 'recheck':
+                self.schedule(self.now + RECHECK_S, 'recheck')
             elif event == 'noise':
                 self.draw_noise()
             elif isinstance(event, Job):
@@ -199,8 +200,8 @@
 
     def draw_noise(self) -> None:
         """Draws which servers are slow."""
-        for machine in self.machines:
-            machine.slow = self.random.random() < NOISE_SHARE
+        for server in self.servers:
+            server.slow = self.random.random() < NOISE_SHARE
         self.schedule(self.now + NOISE_S, 'noise')
 
     def take_new(self, placement: Placement) -> None:
@@ -216,9 +217,9 @@
         """Carries out what is decided."""
         for decision in placement.decide(self.now):
             if isinstance(decision, Started):
-                machine = decision.machine
-                machine.running += 1
-                work_s = decision.job.work_s * machine.slowdown
+                server = decision.server
+                server.running += 1
+                work_s = decision.job.work_s * server.slowdown
                 self.schedule(self.now + work_s, decision)
             else:
                 self.refuse(decision)
@@ -240,9 +241,9 @@
 
     def finish(self, placement: Placement, started: Started) -> None:
         """Ends a job."""
-        started.machine.running -= 1
+        started.server.running -= 1
         job = started.job
-        placement.end(job, started.machine, self.now - job.arrived_at)
+        placement.end(job, started.server, self.now - job.arrived_at)
         latency_s = self.now - job.first_at
         self.latencies.append(latency_s)
         if latency_s <= self.scene.objective_s:
--- a/cowslipmill/forwarding/flight.py
+++ b/cowslipmill/forwarding/flight.py
@@ -17,7 +17,6 @@
         attempts: What was tried.
         arrived_at: Monotonic seconds.
         first_asked_at: When its caller first asked, as far as is known.
-        deadline_at: When the caller stops waiting.
         give_up_at: When it gets its answer at the latest.
         caller_left: Whether its caller has gone.
     """
@@ -26,7 +25,6 @@
         'arrived_at',
         'attempts',
         'caller_left',
-        'deadline_at',
         'fingerprint',
         'first_asked_at',
         'give_up_at',
@@ -55,6 +53,5 @@
         self.attempts = attempts
         self.arrived_at = arrived_at
         self.first_asked_at = arrived_at
-        self.deadline_at = arrived_at
         self.give_up_at = arrived_at
         self.caller_left = False
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -7,20 +7,21 @@
 from asyncio import timeout_at
 from asyncio import wait
 from collections.abc import Callable
-from hashlib import blake2b
 from random import Random
 
 from cowslipmill.forwarding.attempts import Attempts
 from cowslipmill.forwarding.attempts import Next
+from cowslipmill.forwarding.budgets import Budgets
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.dialect import Verdict
 from cowslipmill.forwarding.flight import Flight
-from cowslipmill.forwarding.patience import Patience
+from cowslipmill.forwarding.patience import Patiences
 from cowslipmill.forwarding.sender import Exchanged
 from cowslipmill.forwarding.sender import Lost
 from cowslipmill.forwarding.sender import NotSent
 from cowslipmill.forwarding.sender import Sender
 from cowslipmill.forwarding.sender import Sent
+from cowslipmill.forwarding.suspicion import fingerprint_of
 from cowslipmill.forwarding.suspicion import Suspicion
 from cowslipmill.host.journal import Journal
 from cowslipmill.http1.callerconnection import CallerConnection
@@ -32,7 +33,6 @@
 from cowslipmill.lending.ticket import Refusal
 from cowslipmill.lending.ticket import Result
 from cowslipmill.outcomes.outcome import NotRun
-from cowslipmill.tries.budget import RetryBudget
 from cowslipmill.view.configuration import Route
 from cowslipmill.view.routing import RouteTable
 from cowslipmill.view.view import View
@@ -52,17 +52,6 @@
 FINISH_MARGIN = 1.3
 # An answer is overdue after this many times the expected finish at least.
 OVERDUE_FACTOR = 1.5
-# Part of the fleet's allowance for further sends that is used, since
-# requests come and go within its window.
-BUDGET_USE = 0.85
-# Further sends that a host may make right after its start.
-FIRST_TOKENS = 1.0
-# Hosts assumed while fewer are known, so that a host that has just started
-# doesn't take the whole fleet's allowance.
-FEWEST_HOSTS = 12
-FINGERPRINT_BYTES = 12
-# Time after a refusal within which callers may be ones that come back.
-CALM_S = 2.5
 # Answer size assumed before a route has answered.
 ASSUMED_KILOBYTES = 2.0
 SIZE_WEIGHT = 0.1
@@ -78,8 +67,7 @@
         budgets: Further sends allowed, by service.
         suspicion: Requests that crash servers.
         journal: Records decisions and counts them.
-        refused_at: When a request was last refused here; a start counts,
-            since callers may have been cut off by it.
+        patiences: How long callers wait, by route.
         stop_at: When this host ends, once it is known. A request that may
             not have its answer by then is refused.
     """
@@ -92,8 +80,7 @@
         suspicion: Suspicion,
         dialect: Dialect,
         journal: Journal,
-        retry_share: float,
-        retry_reserve: float,
+        budgets: Budgets,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -104,14 +91,11 @@
         self.suspicion = suspicion
         self.dialect = dialect
         self.journal = journal
-        self.retry_share = retry_share
-        self.retry_reserve = retry_reserve
+        self.budgets = budgets
         self.clock = clock
         self.random = random
-        self.budgets: dict[str, RetryBudget] = {}
         self.sizes: dict[str, float] = {}
-        self.patiences: dict[str, Patience] = {}
-        self.refused_at = clock()
+        self.patiences = Patiences(clock())
         self.table: RouteTable | None = None
         self.table_version = 0
         self.stop_at = float('inf')
@@ -125,24 +109,23 @@
         table = self.routes()
         if table is None:
             return self.refuse_unrouted(
-                demand.request_id, 'no configuration', 503, now
+                demand.request_id, 'no configuration', 503
             )
         host = request.header(b'host').decode('latin-1').partition(':')[0]
         path = request.target.partition(b'?')[0].decode('latin-1')
         route = table.find(host, path)
         if route is None:
-            return self.refuse_unrouted(
-                demand.request_id, 'no route', 404, now
-            )
+            return self.refuse_unrouted(demand.request_id, 'no route', 404)
         service = table.choose_service(route, self.random)
         flight = self.begin(request, demand.request_id, route, service, now)
         patience_s = demand.patience_s
         if patience_s is None:
             patience_s = route.timeout_s or DEFAULT_PATIENCE_S
         else:
-            flight.first_asked_at = now - self.waited_s(route, patience_s, now)
-        flight.deadline_at = now + patience_s
-        flight.give_up_at = flight.deadline_at
+            flight.first_asked_at = now - self.patiences.waited_s(
+                route.name, patience_s, now
+            )
+        flight.give_up_at = now + patience_s
         if route.timeout_s:
             flight.give_up_at = min(flight.give_up_at, now + route.timeout_s)
         task = connection.task
@@ -157,13 +140,6 @@
         connection.on_leave = leave
         return await self.settle(flight)
 
-    def waited_s(self, route: Route, patience_s: float, now: float) -> float:
-        """Returns how long a caller has been asking before."""
-        patience = self.patiences.setdefault(route.name, Patience())
-        if now - self.refused_at > CALM_S:
-            patience.note(patience_s)
-        return patience.waited_s(patience_s)
-
     def routes(self) -> RouteTable | None:
         """Returns the routes in force."""
         configuration = self.view.configuration
@@ -183,28 +159,14 @@
         now: float,
     ) -> Flight:
         """Returns the state of a request that has just come."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            share = BUDGET_USE * self.retry_share
-            budget = RetryBudget(share, reserve=FIRST_TOKENS)
-            self.budgets[service] = budget
-        hosts = max(FEWEST_HOSTS, len(self.lender.roster.hosts))
-        budget.max_tokens = max(1.0, BUDGET_USE * self.retry_reserve / hosts)
-        budget.earn()
-        digest = blake2b(digest_size=FINGERPRINT_BYTES)
-        for part in (
-            request.method,
-            request.header(b'host'),
-            request.target,
-            request.body,
-        ):
-            digest.update(b'%d:' % len(part) + part)
+        hosts = len(self.lender.roster.hosts)
+        budget = self.budgets.earn(service, hosts)
         return Flight(
             request,
             request_id,
             route,
             service,
-            digest.digest(),
+            fingerprint_of(request),
             Attempts(route, budget),
             now,
         )
@@ -349,8 +311,9 @@
         self, flight: Flight, reason: str, retry_after_s: float
     ) -> Answer:
         """Tells that the request has not run, and when to come back."""
-        self.refused_at = self.clock()
-        self.journal.refused(flight, reason, retry_after_s, self.refused_at)
+        now = self.clock()
+        self.patiences.note_refusal(now)
+        self.journal.refused(flight, reason, retry_after_s, now)
         return self.dialect.refusal(503, flight.request_id, retry_after_s)
 
     def fail(self, flight: Flight, reason: str, status: int) -> Answer:
@@ -359,7 +322,7 @@
         return self.dialect.refusal(status, flight.request_id, None)
 
     def refuse_unrouted(
-        self, request_id: str, reason: str, status: int, now: float
+        self, request_id: str, reason: str, status: int
     ) -> Answer:
         """Refuses a request that has no route here."""
         self.journal.unrouted(request_id, reason, status)
--- a/cowslipmill/forwarding/patience.py
+++ b/cowslipmill/forwarding/patience.py
@@ -14,6 +14,8 @@
 # Share of first requests that may state less time than the floor; some
 # callers come back after a failure at another host.
 BELOW_FLOOR = 0.05
+# Time after a refusal within which callers may be ones that come back.
+CALM_S = 2.5
 
 
 class Patience:
@@ -45,3 +47,37 @@
             patience_s: The time that it states.
         """
         return max(0.0, self.floor_s - patience_s)
+
+
+class Patiences:
+    """What is known of the callers of each route.
+
+    Attributes:
+        routes: Times stated, by route.
+        refused_at: When a request was last refused here; a start counts,
+            since callers may have been cut off by it.
+    """
+
+    __slots__ = ('refused_at', 'routes')
+
+    def __init__(self, now: float) -> None:
+        """Starts without requests."""
+        self.routes: dict[str, Patience] = {}
+        self.refused_at = now
+
+    def note_refusal(self, now: float) -> None:
+        """Takes in that a caller has cause to come back."""
+        self.refused_at = now
+
+    def waited_s(self, route: str, patience_s: float, now: float) -> float:
+        """Returns how long a caller has been asking before, at least.
+
+        Args:
+            route: The route's name.
+            patience_s: The time that the caller states.
+            now: Monotonic seconds.
+        """
+        patience = self.routes.setdefault(route, Patience())
+        if now - self.refused_at > CALM_S:
+            patience.note(patience_s)
+        return patience.waited_s(patience_s)
--- a/cowslipmill/forwarding/suspicion.py
+++ b/cowslipmill/forwarding/suspicion.py
@@ -1,14 +1,31 @@
 """Requests that crash servers, as all hosts know them."""
 
 from collections.abc import Callable
+from hashlib import blake2b
 
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.messages import Cleared
 from cowslipmill.fleet.messages import Crash
 from cowslipmill.fleet.rpc import Rpc
+from cowslipmill.http1.message import Request
 from cowslipmill.suspects.suspects import Suspects
 from cowslipmill.suspects.suspects import Verdict
 
+FINGERPRINT_BYTES = 12
+
+
+def fingerprint_of(request: Request) -> bytes:
+    """Returns a hash that the same request has at any host."""
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (
+        request.method,
+        request.header(b'host'),
+        request.target,
+        request.body,
+    ):
+        digest.update(b'%d:' % len(part) + part)
+    return digest.digest()
+
 
 class Suspicion:
     """Shares what is known of requests that crash servers.
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -15,6 +15,7 @@
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.roster import Roster
 from cowslipmill.fleet.rpc import Rpc
+from cowslipmill.forwarding.budgets import Budgets
 from cowslipmill.forwarding.dialect import Dialect
 from cowslipmill.forwarding.forwarder import Forwarder
 from cowslipmill.forwarding.resting import Resting
@@ -124,8 +125,7 @@
             Suspicion(self.gossip, self.rpc, clock),
             dialect,
             Journal(clock),
-            settings.retry_share,
-            settings.retry_reserve,
+            Budgets(settings.retry_share, settings.retry_reserve),
             clock,
             random,
         )
--- a/cowslipmill/lending/admission.py
+++ b/cowslipmill/lending/admission.py
@@ -10,7 +10,7 @@
 ADMITTED_SHARE = 0.85
 # Share of the objective by which the wait of an admitted ticket may exceed
 # its time to spare, since waits vary.
-PATIENCE = 0.25
+OVERRUN_SHARE = 0.25
 # Share of its time left that the expected wait of late work may take, since
 # it gets only what the rest leaves over.
 LATE_SHARE = 0.25
@@ -29,7 +29,7 @@
     """
     if ticket.waits:
         objective_s = ticket.need.objective_at - ticket.arrived_at
-        return wait_s <= spare_s + PATIENCE * objective_s
+        return wait_s <= spare_s + OVERRUN_SHARE * objective_s
     ticket.waits = wait_s <= ADMITTED_SHARE * spare_s
     return ticket.waits
 
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -67,7 +67,7 @@
         heard_at: When the store was known to say so.
         changes: Grows with each change that matters to requests.
         packed: The configuration as another host handed it over.
-        partly: Revision up to which some, not all, changes are held.
+        gap_until: Revision up to which some, not all, changes are held.
     """
 
     def __init__(self, *, leaving_s: float = LEAVING_S) -> None:
@@ -81,7 +81,7 @@
         self.revision = 0
         self.heard_at = float('-inf')
         self.changes = 0
-        self.partly = 0
+        self.gap_until = 0
         self.packed: PackedConfiguration | None = None
 
     @property
@@ -202,12 +202,12 @@
 
     def note_gap(self, revision: int) -> None:
         """Notes that changes up to a revision came without those before."""
-        self.partly = max(self.partly, revision)
+        self.gap_until = max(self.gap_until, revision)
 
     @property
     def has_gap(self) -> bool:
         """Whether the view holds changes beyond its revision."""
-        return self.partly > self.revision
+        return self.gap_until > self.revision
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Drops servers whose entries didn't come back in time."""
