Give requests up in one place

Cause: the choice between a ready failure, unknown and not run stood three times. Change: one function; the reason and status of a time-out are arguments. Tests of forwarding and hosts pass unchanged.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -184,26 +184,19 @@
             async with timeout_at(flight.give_up_at + LATE_ANSWER_S):
                 return await self.serve(flight)
         except TimeoutError:
-            if flight.attempts.failure is not None:
-                return self.deliver(flight, flight.attempts.failure)
-            if flight.attempts.may_have_run:
-                return self.fail(flight, 'no answer in time', 504)
-            return self.refuse(flight, 'no slot in time', FAILED_RETRY_S)
+            awaited = 'answer' if flight.attempts.may_have_run else 'slot'
+            reason = f'no {awaited} in time'
+            return self.give_up(flight, reason, FAILED_RETRY_S, status=504)
         except CancelledError:
             self.journal.cancelled(flight, self.clock())
             raise
 
     async def serve(self, flight: Flight) -> Answer:
         """Sends a request until an answer stands."""
-        attempts = flight.attempts
         while True:
             grant = await self.acquire(flight)
             if isinstance(grant, Refusal):
-                if attempts.failure is not None:
-                    return self.deliver(flight, attempts.failure)
-                if attempts.may_have_run:
-                    return self.fail(flight, grant.reason, 502)
-                return self.refuse(flight, grant.reason, grant.retry_after_s)
+                return self.give_up(flight, grant.reason, grant.retry_after_s)
             exchanged = await self.send(flight, grant)
             following = self.judge(flight, exchanged)
             if following is Next.AGAIN and not flight.caller_left:
@@ -211,11 +204,29 @@
                 continue
             if following is Next.DELIVER and isinstance(exchanged, Sent):
                 return self.deliver(flight, exchanged.answer)
-            if attempts.failure is not None:
-                return self.deliver(flight, attempts.failure)
-            if attempts.may_have_run:
-                return self.fail(flight, exchanged.reason, 502)
-            return self.refuse(flight, exchanged.reason, FAILED_RETRY_S)
+            return self.give_up(flight, exchanged.reason, FAILED_RETRY_S)
+
+    def give_up(
+        self,
+        flight: Flight,
+        reason: str,
+        retry_after_s: float,
+        *,
+        status: int = 502,
+    ) -> Answer:
+        """Returns the answer to a request that no server will answer now.
+
+        Args:
+            flight: The request.
+            reason: Why it is given up.
+            retry_after_s: When to come back, told if it has not run.
+            status: Status told if it may have run.
+        """
+        if flight.attempts.failure is not None:
+            return self.deliver(flight, flight.attempts.failure)
+        if flight.attempts.may_have_run:
+            return self.fail(flight, reason, status)
+        return self.refuse(flight, reason, retry_after_s)
 
     async def acquire(
         self, flight: Flight, *, better_than_s: float | None = None
