Say which coordinator refused a request, and why a server is blocked

The lines couldn't tell a real overload from a coordinator that reaches no server, or from servers that are blocked on the word of a host that can't reach them.

No decision changes.

--- a/cowslipmill/host/requestlog.py
+++ b/cowslipmill/host/requestlog.py
@@ -87,7 +87,11 @@
         )
 
     def not_placed(self, context: RequestContext, refusal: Refusal) -> None:
-        """Records that a request was refused a slot."""
+        """Records that a request was refused a slot.
+
+        In the log line, `home` is the IP address of the coordinator, empty if
+        that is this host.
+        """
         LOG.info(
             'not placed',
             extra={
@@ -95,6 +99,7 @@
                 'service': context.service,
                 'reason': refusal.reason,
                 'waiting': refusal.waiting,
+                'home': refusal.coordinator[0],
                 'retry_after_ms': to_milliseconds(refusal.retry_after_s),
             },
         )
--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from random import Random
 
+from cowslipmill.leasing.blocks import log_block
 from cowslipmill.leasing.leaserequest import AskOtherDomains
 from cowslipmill.leasing.leaserequest import Decision
 from cowslipmill.leasing.leaserequest import Grant
@@ -90,9 +91,20 @@
         if self.task is None or self.task.done():
             self.task = create_task(self.run())
 
-    def record_result(self, report: Report) -> None:
-        """Records how a lease ended and decides on queued requests again."""
-        self.scheduler.record_result(report, self.clock())
+    def record_result(self, report: Report, reporter: str) -> None:
+        """Records how a lease ended and decides on queued requests again.
+
+        Args:
+            report: How the lease ended.
+            reporter: Name of the host that reports it.
+        """
+        if self.scheduler.record_result(report, self.clock()):
+            log_block(
+                report.server,
+                report.service,
+                report.result.name.lower(),
+                reporter,
+            )
         if self.scheduler.queue:
             self.start()
 
--- a/cowslipmill/leasing/leaseclient.py
+++ b/cowslipmill/leasing/leaseclient.py
@@ -97,10 +97,8 @@
             raise
         if call.done():
             reply = call.result()
-            if isinstance(reply, Grant):
+            if isinstance(reply, Grant | Refusal):
                 return with_coordinator(reply, coordinator.address)
-            if isinstance(reply, Refusal):
-                return reply
         self.cancel(call, key, requirements, coordinator, failure_domain)
         self.member_list.back_off(coordinator.name, self.clock())
         LOG.info(
@@ -178,10 +176,8 @@
         reply = await self.rpc.call(
             coordinator.address, message, REMOTE_TIMEOUT_S
         )
-        if isinstance(reply, Grant):
+        if isinstance(reply, Grant | Refusal):
             return with_coordinator(reply, coordinator.address)
-        if isinstance(reply, Refusal):
-            return reply
         self.rpc.send(
             coordinator, CancelLease(key, requirements.service, failure_domain)
         )
@@ -189,12 +185,12 @@
         return None
 
 
-def with_coordinator(grant: Grant, address: tuple[str, int]) -> Grant:
-    """Returns a grant with the address of its coordinator.
+def with_coordinator(reply: Reply, address: tuple[str, int]) -> Reply:
+    """Returns a reply with the address of its coordinator.
 
-    A grant that already names one is returned unchanged: the coordinator that
+    A reply that already names one is returned unchanged: the coordinator that
     was asked got it from a coordinator in another failure domain.
     """
-    if grant.coordinator[0]:
-        return grant
-    return replace(grant, coordinator=address)
+    if reply.coordinator[0]:
+        return reply
+    return replace(reply, coordinator=address)
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -324,7 +324,7 @@
         if not grant.coordinator[0]:
             self.local_coordinator(
                 service, grant.failure_domain
-            ).record_result(report)
+            ).record_result(report, self.member_list.own.name)
             return
         for member in self.member_list.members():
             if member.address == grant.coordinator:
@@ -371,4 +371,4 @@
         coordinator = self.local_coordinator(
             message.service, message.failure_domain
         )
-        coordinator.record_result(message)
+        coordinator.record_result(message, sender)
--- a/cowslipmill/leasing/leaserequest.py
+++ b/cowslipmill/leasing/leaserequest.py
@@ -114,12 +114,15 @@
         reason: Reason, such as `overloaded`.
         retry_after_s: Retry delay after which a slot is expected, in seconds.
         waiting: Number of requests queued at the coordinator.
+        coordinator: Address of the coordinator that refused it; an empty
+            host for the coordinator of the same process.
     """
 
     key: LeaseKey
     reason: str
     retry_after_s: float
     waiting: int
+    coordinator: tuple[str, int] = ('', 0)
 
 
 class AskOtherDomains:
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -12,6 +12,7 @@
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.http1.serverconnection import ServerConnection
+from cowslipmill.leasing.blocks import log_block
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.slots import ServerSlots
 from cowslipmill.view.server import ServerRecord
@@ -75,7 +76,8 @@
                 response = await exchange_with_timeout(connection, request)
         except (ConnectFailed, ExchangeFailed, TimeoutError):
             LOAD_PROBES.labels('unanswered').inc()
-            server.record_probe_failure(self.clock())
+            if server.record_probe_failure(self.clock()):
+                log_block(server.name, server.record.service, 'probe', '')
             return
         finally:
             self.in_progress.discard(address)
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -408,15 +408,15 @@
         wait_s *= random.uniform(1.0, 1.5)
         return Refusal(request.key, reason, wait_s, len(self.queue))
 
-    def record_result(self, report: Report, now: float) -> None:
-        """Records how a lease ended."""
+    def record_result(self, report: Report, now: float) -> bool:
+        """Records how a lease ended; returns whether it blocked the server."""
         server = self.servers.get(report.server)
         if server is None:
-            return
+            return False
         lease = server.release(report.key)
-        server.record_result(report.result, now)
         if report.result is LeaseResult.ANSWERED and lease is not None:
             self.processing_times.record(lease.route, report.duration_s)
+        return server.record_result(report.result, now)
 
     def release(self, grant: Grant) -> None:
         """Releases a lease whose request no longer waits for it."""
--- a/cowslipmill/leasing/slots.py
+++ b/cowslipmill/leasing/slots.py
@@ -228,22 +228,27 @@
         decay: float = 0.5 ** (age / FAILURE_HALF_LIFE_S)
         return self.failure_rate * decay
 
-    def record_result(self, result: LeaseResult, now: float) -> None:
+    def record_result(self, result: LeaseResult, now: float) -> bool:
         """Records how a lease ended.
 
         The server is blocked if it could not be reached, if another server
         responded at its address, or if it shed the request.
+
+        Returns:
+            Whether it was blocked for a reason other than shedding.
         """
         if result in (LeaseResult.CANCELLED, LeaseResult.UNUSED):
-            return
+            return False
         score = FAILURE_SCORES.get(result, 0.0)
         rate = self.decayed_failure_rate(now)
         self.failure_rate = rate + FAILURE_SMOOTHING * (score - rate)
         self.failure_rate_at = now
         if result in (LeaseResult.UNREACHABLE, LeaseResult.WRONG_SERVER):
             self.block(now)
-        elif result is LeaseResult.SHED:
+            return True
+        if result is LeaseResult.SHED:
             self.blocked_until = max(self.blocked_until, now + SHED_BLOCK_S)
+        return False
 
     def block(self, now: float) -> None:
         """Blocks the server, for twice as long each time in a row.
@@ -257,13 +262,17 @@
         self.load = None
         self.load_sampled_at = float('-inf')
 
-    def record_probe_failure(self, now: float) -> None:
+    def record_probe_failure(self, now: float) -> bool:
         """Records that a load probe got no response.
 
         At a server that reports no load, probes wait for a slot, so that one
         without a response doesn't count while the server has leases.
+
+        Returns:
+            Whether the server was blocked.
         """
         if self.reports_load is False and self.leases:
-            return
+            return False
         self.failed_probes += 1
         self.block(now)
+        return True
