--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -17,8 +17,8 @@
 from cowslipmill.http1.pool import ConnectionPool
 from cowslipmill.http1.pool import MAX_IDLE_PER_SERVER
 from cowslipmill.http1.serverconnection import ConnectFailed
+from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.http1.serverconnection import ExchangeFailed
-from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.leaserequest import Grant
@@ -124,6 +124,7 @@
     Attributes:
         view: The configuration and servers in force.
         lease_manager: Receives the results of the leases.
+        dialer: Opens connections to servers.
         idle_limits: How long connections may be idle, by service.
         crash_tracker: Learns of servers that were lost with a request.
         header_codec: Reads and writes HTTP headers of callers and servers.
@@ -134,6 +135,7 @@
         self,
         view: View,
         lease_manager: LeaseManager,
+        dialer: Dialer,
         idle_limits: IdleLimits,
         crash_tracker: CrashTracker,
         header_codec: HeaderCodec,
@@ -144,6 +146,7 @@
         Args:
             view: The configuration and servers in force.
             lease_manager: Receives the results of the leases.
+            dialer: Opens connections to servers.
             idle_limits: How long connections may be idle, by service.
             crash_tracker: Learns of servers that were lost with a request.
             header_codec: Reads and writes HTTP headers of callers and servers.
@@ -151,6 +154,7 @@
         """
         self.view = view
         self.lease_manager = lease_manager
+        self.dialer = dialer
         self.idle_limits = idle_limits
         self.crash_tracker = crash_tracker
         self.header_codec = header_codec
@@ -237,7 +241,7 @@
         if pooled is not None:
             return pooled
         try:
-            connection = await open_connection(
+            connection = await self.dialer.open(
                 server.address,
                 CONNECT_TIMEOUT_S,
                 self.header_codec.request_id_header,
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -29,6 +29,7 @@
 from cowslipmill.http1.callerconnection import CallerServer
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.prober import Prober
 from cowslipmill.runtime.program import ListenError
@@ -83,6 +84,7 @@
         member_list: The hosts known, this one among them.
         rpc: Calls between hosts.
         gossip: Exchanges hosts and views with other hosts.
+        dialer: Opens connections to servers.
         prober: Probes servers for their load.
         lease_manager: Grants leases for the services that this host
             coordinates and requests those for others.
@@ -141,7 +143,8 @@
             clock,
             random,
         )
-        self.prober = Prober(header_codec, clock)
+        self.dialer = Dialer(settings.server_source_ip)
+        self.prober = Prober(self.dialer, header_codec, clock)
         self.lease_manager = LeaseManager(
             self.view, self.member_list, self.rpc, self.prober, clock, random
         )
@@ -150,6 +153,7 @@
         self.sender = Sender(
             self.view,
             self.lease_manager,
+            self.dialer,
             idle_limits,
             crash_tracker,
             header_codec,
--- a/cowslipmill/host/settings.py
+++ b/cowslipmill/host/settings.py
@@ -26,6 +26,8 @@
             time, so that none has a view yet.
         peer_address: Address at which other hosts reach this one, if it
             differs from `peer_listen`.
+        server_source_ip: Local IP address of connections to servers; empty
+            if the system chooses it.
     """
 
     name: str
@@ -41,3 +43,4 @@
     leaving_s: float
     first_start: bool = False
     peer_address: Address | None = None
+    server_source_ip: str = ''
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -300,7 +300,11 @@
 
 
 async def open_connection(
-    address: tuple[str, int], timeout_s: float, request_id_header: bytes = b''
+    address: tuple[str, int],
+    timeout_s: float,
+    request_id_header: bytes = b'',
+    *,
+    source_ip: str = '',
 ) -> ServerConnection:
     """Opens a connection to a server.
 
@@ -309,17 +313,47 @@
         timeout_s: Timeout of the connection's set-up.
         request_id_header: Header that responses echo from their request;
             empty if they don't.
+        source_ip: Local IP address; empty if the system chooses it.
 
     Raises:
         ConnectFailed: If the connection isn't established in time.
     """
     loop = get_running_loop()
+    local_address = (source_ip, 0) if source_ip else None
     try:
         async with timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ServerConnection(request_id_header), *address
+                lambda: ServerConnection(request_id_header),
+                *address,
+                local_addr=local_address,
             )
     except (OSError, TimeoutError) as error:
         reason = f'{type(error).__name__}: {error}'
         raise ConnectFailed(reason) from error
     return connection
+
+
+class Dialer:
+    """Opens this host's connections to servers.
+
+    Attributes:
+        source_ip: Local IP address of the connections; empty if the system
+            chooses it.
+    """
+
+    __slots__ = ('source_ip',)
+
+    def __init__(self, source_ip: str = '') -> None:
+        """Stores the local IP address."""
+        self.source_ip = source_ip
+
+    async def open(
+        self,
+        address: tuple[str, int],
+        timeout_s: float,
+        request_id_header: bytes = b'',
+    ) -> ServerConnection:
+        """Opens a connection; see `open_connection`."""
+        return await open_connection(
+            address, timeout_s, request_id_header, source_ip=self.source_ip
+        )
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -9,8 +9,8 @@
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import ConnectFailed
+from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.http1.serverconnection import ExchangeFailed
-from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.leasing.blocks import log_block
 from cowslipmill.leasing.ratelimits import RateLimits
@@ -33,6 +33,7 @@
     """Probes servers, over one connection to each.
 
     Attributes:
+        dialer: Opens connections to servers.
         header_codec: Encodes load probes and decodes the responses.
         clock: Returns monotonic seconds.
         connections: Connections by server address.
@@ -41,9 +42,13 @@
     """
 
     def __init__(
-        self, header_codec: HeaderCodec, clock: Callable[[], float]
+        self,
+        dialer: Dialer,
+        header_codec: HeaderCodec,
+        clock: Callable[[], float],
     ) -> None:
         """Starts without connections."""
+        self.dialer = dialer
         self.header_codec = header_codec
         self.clock = clock
         self.connections: dict[tuple[str, int], ServerConnection] = {}
@@ -106,7 +111,7 @@
             False also if another server responds at its address.
         """
         try:
-            connection = await open_connection(
+            connection = await self.dialer.open(
                 record.address, CONNECT_TIMEOUT_S
             )
         except ConnectFailed:
@@ -133,7 +138,7 @@
                 return connection
         if connection is not None:
             connection.close()
-        connection = await open_connection(address, CONNECT_TIMEOUT_S)
+        connection = await self.dialer.open(address, CONNECT_TIMEOUT_S)
         self.connections[address] = connection
         return connection
 
