Send requests by way of other hosts while a host reaches no server

Cause: a host sends by its own links only.

A server that can't be reached from here is tried by way of another host, first the coordinator, which has probed it right before its grant. The other host offers to send the request before it gets it, uses only its own links, refuses while it reaches no server itself, stops, is busy or knows a rate limit that the coordinator doesn't, and cancels it with its caller. All decisions on a request stay with the host that has its caller. Overdue responses, failed connections and unanswered load probes make a path lost; checks in the background bring it back. Three servers in a row that can't be reached mean that the links are gone, and that no pooled connection is used.

A second cut found that paths stayed lost from the first one, which is fixed here.

--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -6,6 +6,12 @@
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
+from cowslipmill.relays.messages import AskRelay
+from cowslipmill.relays.messages import CancelRelay
+from cowslipmill.relays.messages import RelayFailure
+from cowslipmill.relays.messages import RelayOffer
+from cowslipmill.relays.messages import RelayRequest
+from cowslipmill.relays.messages import RelayResponse
 from cowslipmill.suspects.record import Summary
 from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ServerRemoved
@@ -253,4 +259,10 @@
     AskTrial,
     TrialDecision,
     IdleLoss,
+    AskRelay,
+    RelayOffer,
+    RelayRequest,
+    RelayResponse,
+    RelayFailure,
+    CancelRelay,
 )
--- a/cowslipmill/forwarding/attempts.py
+++ b/cowslipmill/forwarding/attempts.py
@@ -83,6 +83,13 @@
         self.possible_executions += 1
         self.excluded.append(server)
 
+    def withdraw_send(self, server: str) -> None:
+        """Undoes `record_send` for a request that reached no server."""
+        self.sends -= 1
+        self.servers_tried -= 1
+        self.possible_executions -= 1
+        self.excluded.remove(server)
+
     def after_unreachable(self, server: str) -> NextStep:
         """Returns the next step after a server could not be reached.
 
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -19,11 +19,11 @@
 from cowslipmill.forwarding.headercodec import ResponseClass
 from cowslipmill.forwarding.requestcontext import RequestContext
 from cowslipmill.forwarding.retrybudgets import RetryBudgets
-from cowslipmill.forwarding.sender import Lost
-from cowslipmill.forwarding.sender import NotSent
 from cowslipmill.forwarding.sender import Sender
-from cowslipmill.forwarding.sender import SendResult
-from cowslipmill.forwarding.sender import Sent
+from cowslipmill.forwarding.sendresult import Lost
+from cowslipmill.forwarding.sendresult import NotSent
+from cowslipmill.forwarding.sendresult import SendResult
+from cowslipmill.forwarding.sendresult import Sent
 from cowslipmill.host.requestlog import RequestLog
 from cowslipmill.http1.callerconnection import CallerConnection
 from cowslipmill.http1.message import Request
--- a/cowslipmill/forwarding/requestcontext.py
+++ b/cowslipmill/forwarding/requestcontext.py
@@ -6,14 +6,33 @@
 from cowslipmill.view.configuration import Route
 
 
-class RequestContext:
+class OutgoingRequest:
+    """What is needed of a request to send it to a server.
+
+    Attributes:
+        request: The request as the caller sent it.
+        request_id: The request's id, empty if it has none.
+        deadline_at: When the caller stops waiting for the response, in
+            monotonic seconds.
+    """
+
+    __slots__ = ('deadline_at', 'request', 'request_id')
+
+    def __init__(
+        self, request: Request, request_id: str, deadline_at: float
+    ) -> None:
+        """Stores the values."""
+        self.request = request
+        self.request_id = request_id
+        self.deadline_at = deadline_at
+
+
+class RequestContext(OutgoingRequest):
     """One request from its arrival to its response.
 
     All times are monotonic seconds.
 
     Attributes:
-        request: The request as the caller sent it.
-        request_id: The request's id, empty if it has none.
         route: The request's route at its arrival.
         service: Name of the service that handles the request.
         fingerprints: Hashes of the request, the same on every host.
@@ -21,7 +40,6 @@
         arrived_at: When the request arrived at this host.
         first_sent_at: When the caller first sent the request to any host,
             as estimated from the caller's remaining time.
-        deadline_at: When the caller stops waiting for the response.
         caller_left: Whether the caller has disconnected.
         trial_sends: Number of sends before it became a trial of a suspect
             request, which may be sent once more; None if it is none.
@@ -31,11 +49,8 @@
         'arrived_at',
         'attempts',
         'caller_left',
-        'deadline_at',
         'fingerprints',
         'first_sent_at',
-        'request',
-        'request_id',
         'route',
         'service',
         'trial_sends',
@@ -52,14 +67,12 @@
         arrived_at: float,
     ) -> None:
         """Creates the context; the forwarder sets its deadline afterwards."""
-        self.request = request
-        self.request_id = request_id
+        super().__init__(request, request_id, arrived_at)
         self.route = route
         self.service = service
         self.fingerprints = fingerprints
         self.attempts = attempts
         self.arrived_at = arrived_at
         self.first_sent_at = arrived_at
-        self.deadline_at = arrived_at
         self.caller_left = False
         self.trial_sends: int | None = None
--- /dev/null
+++ b/cowslipmill/forwarding/sendresult.py
@@ -0,0 +1,61 @@
+"""How one attempt to send a request to a server ended."""
+
+from dataclasses import dataclass
+
+from cowslipmill.forwarding.headercodec import ResponseClass
+from cowslipmill.http1.message import Response
+
+
+# The names of the three result classes are written into logs.
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The server could not be reached; nothing was sent to it.
+
+    Attributes:
+        server: The server's name.
+        reason: Why, as written into the log.
+    """
+
+    server: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent and no complete response arrived.
+
+    Attributes:
+        server: The server's name.
+        reason: Why, as written into the log.
+        reset: Whether the connection broke.
+        idle: Whether the server had dropped the connection while it was
+            idle, before the request.
+    """
+
+    server: str
+    reason: str
+    reset: bool
+    idle: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The request was sent and the server responded.
+
+    Attributes:
+        server: The server's name.
+        response_class: What the response implies for the request.
+        response: The response.
+    """
+
+    server: str
+    response_class: ResponseClass
+    response: Response
+
+    @property
+    def reason(self) -> str:
+        """The class of the response, as written into the log."""
+        return self.response_class.value
+
+
+SendResult = NotSent | Lost | Sent
--- a/cowslipmill/forwarding/tests/test_forwarder.py
+++ b/cowslipmill/forwarding/tests/test_forwarder.py
@@ -9,9 +9,9 @@
 
 from cowslipmill.forwarding.forwarder import best_result
 from cowslipmill.forwarding.headercodec import ResponseClass
-from cowslipmill.forwarding.sender import Lost
-from cowslipmill.forwarding.sender import SendResult
-from cowslipmill.forwarding.sender import Sent
+from cowslipmill.forwarding.sendresult import Lost
+from cowslipmill.forwarding.sendresult import SendResult
+from cowslipmill.forwarding.sendresult import Sent
 from cowslipmill.http1.message import Response
 
 SUCCESS = Sent('one', ResponseClass.SUCCESS, Response(200, [], b''))
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -16,6 +16,7 @@
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.crashtracker import CrashTracker
+from cowslipmill.forwarding.directsender import DirectSender
 from cowslipmill.forwarding.forwarder import Forwarder
 from cowslipmill.forwarding.headercodec import HeaderCodec
 from cowslipmill.forwarding.idlelimits import IdleLimits
@@ -29,9 +30,14 @@
 from cowslipmill.http1.callerconnection import CallerServer
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.pool import ConnectionPool
 from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.prober import Prober
+from cowslipmill.paths.pathchecker import PathChecker
+from cowslipmill.paths.serverpaths import ServerPaths
+from cowslipmill.relays.relayclient import RelayClient
+from cowslipmill.relays.relayserver import RelayServer
 from cowslipmill.runtime.program import ListenError
 from cowslipmill.view.configuration import Configuration
 from cowslipmill.view.events import ConfigurationUpdated
@@ -84,10 +90,13 @@
         member_list: The hosts known, this one among them.
         rpc: Calls between hosts.
         gossip: Exchanges hosts and views with other hosts.
-        dialer: Opens connections to servers.
+        paths: What this host believes of its paths to servers.
+        pool: Idle connections to servers.
+        path_checker: Checks the paths to servers.
         prober: Probes servers for their load.
         lease_manager: Grants leases for the services that this host
             coordinates and requests those for others.
+        relay_server: Sends requests of other hosts to servers.
         sender: Sends requests to servers.
         forwarder: Handles the requests of callers.
         callers: The connections from callers.
@@ -143,22 +152,47 @@
             clock,
             random,
         )
-        self.dialer = Dialer(settings.server_source_ip)
-        self.prober = Prober(self.dialer, header_codec, clock)
+        self.paths = ServerPaths(self.on_path_lost)
+        self.pool = ConnectionPool()
+        self.path_checker = PathChecker(
+            self.paths,
+            self.view,
+            Dialer(settings.server_source_ip),
+            self.pool,
+            header_codec,
+            clock,
+            random,
+        )
+        self.prober = Prober(
+            self.path_checker.dialer, self.paths, header_codec, clock
+        )
         self.lease_manager = LeaseManager(
             self.view, self.member_list, self.rpc, self.prober, clock, random
         )
         idle_limits = IdleLimits(self.gossip, self.rpc, clock)
         crash_tracker = CrashTracker(self.gossip, self.rpc, self.prober, clock)
-        self.sender = Sender(
+        direct_sender = DirectSender(
             self.view,
             self.lease_manager,
-            self.dialer,
+            self.path_checker,
             idle_limits,
-            crash_tracker,
             header_codec,
             clock,
         )
+        self.relay_server = RelayServer(direct_sender, self.rpc, clock)
+        self.sender = Sender(
+            self.lease_manager,
+            direct_sender,
+            RelayClient(
+                self.member_list,
+                self.rpc,
+                self.lease_manager.rate_limits,
+                clock,
+                random,
+            ),
+            crash_tracker,
+            clock,
+        )
         self.forwarder = Forwarder(
             self.view,
             self.lease_manager,
@@ -336,7 +370,10 @@
             await sleep(HOUSEKEEPING_INTERVAL_S)
             now = self.clock()
             self.callers.enforce_timeouts(now)
-            self.sender.pool.close_expired(now)
+            self.pool.close_expired(now)
+            self.paths.retain(
+                {known.record.address for known in self.view.servers.values()}
+            )
             for name in self.view.drop_missing(now):
                 self.lease_manager.rate_limits.forget(name)
                 LOG.info('server gone', extra={'server': name})
@@ -374,7 +411,7 @@
                     },
                 )
                 if record.leaving:
-                    self.sender.pool.close_idle(record.address)
+                    self.pool.close_idle(record.address)
             elif isinstance(event, ServerRemoved):
                 LOG.info(
                     'server entry removed',
@@ -385,6 +422,20 @@
                     },
                 )
 
+    def on_path_lost(self, address: Address | None) -> None:
+        """Closes idle connections that may not deliver data any more.
+
+        Checks whether other servers can't be reached either.
+
+        Args:
+            address: Address of a server; None for all servers.
+        """
+        if address is None:
+            self.pool.close_all()
+        else:
+            self.pool.close_idle(address)
+            self.path_checker.request_further_checks()
+
     def apply_caller_limits(self, configuration: Configuration) -> None:
         """Sets the limits of caller connections.
 
@@ -405,6 +456,7 @@
         is still being handled when the time to stop runs out is interrupted.
         """
         self.stopping = True
+        self.relay_server.stopping = True
         self.callers.closing = True
         started_at = self.clock()
         LOG.info('stopping', extra={'open': len(self.callers.connections)})
@@ -413,8 +465,10 @@
         self.forwarder.stop_at = end_at
         while self.clock() < end_at:
             await sleep(DRAIN_POLL_INTERVAL_S)
-            readiness_noticed = self.clock() - started_at > READINESS_NOTICE_S
-            if readiness_noticed and not self.callers.busy:
+            now = self.clock()
+            readiness_noticed = now - started_at > READINESS_NOTICE_S
+            busy = self.callers.busy or self.relay_server.is_busy(now)
+            if readiness_noticed and not busy:
                 break
         for listener in self.listeners:
             listener.close()
--- a/cowslipmill/host/requestlog.py
+++ b/cowslipmill/host/requestlog.py
@@ -7,7 +7,7 @@
 from prometheus_client import Histogram
 
 from cowslipmill.forwarding.requestcontext import RequestContext
-from cowslipmill.forwarding.sender import SendResult
+from cowslipmill.forwarding.sendresult import SendResult
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import Refusal
 
--- a/cowslipmill/host/tests/partition.py
+++ b/cowslipmill/host/tests/partition.py
@@ -129,9 +129,9 @@
         """Puts proxies on the links of one more host."""
         dialer = ProxyDialer()
         self.dialers[host.settings.name] = dialer
-        host.dialer = dialer
+        host.path_checker.dialer = dialer
         host.prober.dialer = dialer
-        host.sender.dialer = dialer
+        host.sender.direct.dialer = dialer
 
     async def connect(self, host: Host, addresses: Iterable[Address]) -> None:
         """Makes the proxies between a host and servers.
--- a/cowslipmill/host/tests/test_operations.py
+++ b/cowslipmill/host/tests/test_operations.py
@@ -8,7 +8,16 @@
 from testtools.matchers import Equals
 
 ROOT = Path(__file__).parents[3]
-PACKAGES = ('fleet', 'forwarding', 'host', 'http1', 'leasing', 'view')
+PACKAGES = (
+    'fleet',
+    'forwarding',
+    'host',
+    'http1',
+    'leasing',
+    'paths',
+    'relays',
+    'view',
+)
 
 
 @pytest.fixture
--- a/cowslipmill/host/tests/test_requests.py
+++ b/cowslipmill/host/tests/test_requests.py
@@ -173,10 +173,11 @@
     large_fleet: Fleet,
 ) -> None:
     hosts = large_fleet.hosts
-    hosts[0].sender.idle_limits.report_loss('registry', 0.3)
+    hosts[0].sender.direct.idle_limits.report_loss('registry', 0.3)
     await large_fleet.wait_until(
         lambda: all(
-            host.sender.idle_limits.max_idle_s('registry', host.clock()) < 0.3
+            host.sender.direct.idle_limits.max_idle_s('registry', host.clock())
+            < 0.3
             for host in hosts
         )
     )
--- a/cowslipmill/http1/pool.py
+++ b/cowslipmill/http1/pool.py
@@ -79,6 +79,11 @@
         for connection in self.idle.pop(address, ()):
             connection.close()
 
+    def close_all(self) -> None:
+        """Closes all idle connections."""
+        for address in list(self.idle):
+            self.close_idle(address)
+
     def close_expired(self, now: float) -> None:
         """Closes unusable connections and those past their idle deadline."""
         for address, idle in list(self.idle.items()):
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -64,6 +64,7 @@
             empty, every response is taken as that of the open request.
         pending_response: Completes with the response to the open request.
         request_id: Request id of the open request, or empty bytes.
+        opened_at: Loop time when the connection was established.
         idle_deadline: Loop time from which the connection is not used again.
         idle_since: Loop time when the last exchange ended; None before.
         response_started: Whether data arrived since the last request was sent.
@@ -79,6 +80,7 @@
         self.transport: Transport | None = None
         self.pending_response: Future[Response] | None = None
         self.request_id = b''
+        self.opened_at = 0.0
         self.idle_since: float | None = None
         self.response_started = False
         self.idle_deadline = 0.0
@@ -108,6 +110,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Disables Nagle's algorithm and sets the TCP user timeout."""
         self.transport = cast(Transport, transport)
+        self.opened_at = get_running_loop().time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -15,6 +15,7 @@
 from cowslipmill.leasing.blocks import log_block
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.slots import ServerSlots
+from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.view.server import ServerRecord
 
 # A server responds to a load probe at once; one that takes this long won't
@@ -34,6 +35,7 @@
 
     Attributes:
         dialer: Opens connections to servers.
+        paths: Learns which servers respond.
         header_codec: Encodes load probes and decodes the responses.
         clock: Returns monotonic seconds.
         connections: Connections by server address.
@@ -44,11 +46,13 @@
     def __init__(
         self,
         dialer: Dialer,
+        paths: ServerPaths,
         header_codec: HeaderCodec,
         clock: Callable[[], float],
     ) -> None:
         """Starts without connections."""
         self.dialer = dialer
+        self.paths = paths
         self.header_codec = header_codec
         self.clock = clock
         self.connections: dict[tuple[str, int], ServerConnection] = {}
@@ -79,13 +83,18 @@
                 connection = await self.connect(address)
                 sampled_at = self.clock()
                 response = await exchange_with_timeout(connection, request)
-        except (ConnectFailed, ExchangeFailed, TimeoutError):
+        except (ConnectFailed, ExchangeFailed, TimeoutError) as error:
             LOAD_PROBES.labels('unanswered').inc()
+            if not isinstance(error, ExchangeFailed):
+                self.paths.record_unreached(
+                    address, str(error) or 'no response', self.clock()
+                )
             if server.record_probe_failure(self.clock()):
                 log_block(server.name, server.record.service, 'probe', '')
             return
         finally:
             self.in_progress.discard(address)
+        self.paths.record_reached(address, connection.opened_at, self.clock())
         load = self.header_codec.decode_health(response, server.record)
         if load is None:
             LOAD_PROBES.labels('other-server').inc()
--- /dev/null
+++ b/cowslipmill/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Which servers this host reaches over its own links."""
