Count losses of a host against a server only if its path is not lost

Cause: a coordinator blocks a server, and ranks it lower, on the word of each host that can't reach it or loses a request, also if only that host's links are gone. Nothing that was sent by way of another host shows this, but a host that finds none to help still reported it.

A failed connection counts if the request could also not be sent by way of a host that isn't cut off, or if the host coordinates the server itself; a lost request counts unless the path to the server was lost meanwhile.

--- a/cowslipmill/forwarding/attempt.py
+++ b/cowslipmill/forwarding/attempt.py
@@ -14,9 +14,10 @@
         server: The server.
         sent_at: When the request was sent, in monotonic seconds; None if it
             was not.
+        relayed: Whether it goes by way of another host.
     """
 
-    __slots__ = ('context', 'grant', 'sent_at', 'server')
+    __slots__ = ('context', 'grant', 'relayed', 'sent_at', 'server')
 
     def __init__(
         self, context: RequestContext, grant: Grant, server: ServerRecord
@@ -26,6 +27,7 @@
         self.grant = grant
         self.server = server
         self.sent_at: float | None = None
+        self.relayed = False
 
     def record_send(self, now: float) -> None:
         """Records that the request is about to be sent."""
--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -193,7 +193,8 @@
             )
             if idle:
                 self.idle_limits.report_loss(server.service, idle_s)
-            return Lost(server.name, str(error), error.reset, idle)
+            path_lost = self.paths.is_lost(server.address)
+            return Lost(server.name, str(error), error.reset, idle, path_lost)
         except CancelledError:
             # The connection may no longer deliver data, and the same may
             # hold for pooled ones that were opened before it.
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -80,19 +80,20 @@
         """Makes one attempt to send a request and releases the lease."""
         server = self.direct.find_server(grant)
         if server is None:
-            result: SendResult = NotSent(grant.server, 'the server has left')
-            self.release(context, grant, lease_result_of(result), 0.0)
-            return result
+            self.release(context, grant, LeaseResult.UNREACHABLE, 0.0)
+            return NotSent(grant.server, 'the server has left')
         attempt = Attempt(context, grant, server)
         lease_result = LeaseResult.CANCELLED
         try:
             result = await self.send_to_server(attempt)
-            lease_result = lease_result_of(result)
+            lease_result = lease_result_of(result, grant)
             return result
         except CancelledError:
             # A server without a response at the deadline counts as failed.
             if self.clock() >= context.deadline_at:
-                lease_result = LeaseResult.BROKEN
+                path_lost = self.direct.paths.is_lost(server.address)
+                if attempt.relayed or not path_lost:
+                    lease_result = LeaseResult.BROKEN
                 self.report_silence(attempt)
             raise
         finally:
@@ -157,7 +158,7 @@
         except ConnectFailed:
             return await self.relay(attempt)
         if not self.accepts_requests(attempt.grant):
-            return NotSent(server.name, 'the server has left')
+            return NotSent(server.name, 'the server has left', confirmed=True)
         attempt.record_send(self.clock())
         try:
             return await self.direct.exchange(
@@ -168,20 +169,29 @@
             )
         except ConnectFailed as error:
             attempt.withdraw_send()
-            return NotSent(server.name, str(error))
+            return NotSent(server.name, str(error), confirmed=True)
 
     async def relay(self, attempt: Attempt) -> SendResult:
         """Sends a request by way of another host."""
+        attempt.relayed = True
         result = await self.relay_client.send(attempt)
         if isinstance(result, Response):
             return self.direct.classify(attempt.server, result)
         return result
 
 
-def lease_result_of(result: SendResult) -> LeaseResult:
-    """Returns how a lease ended with the result of an attempt."""
+def lease_result_of(result: SendResult, grant: Grant) -> LeaseResult:
+    """Returns how a lease ended with the result of an attempt.
+
+    A loss that may be due to this host's links doesn't count against the
+    server at a coordinator on another host.
+    """
     if isinstance(result, NotSent):
-        return LeaseResult.UNREACHABLE
+        if result.confirmed or not grant.coordinator[0]:
+            return LeaseResult.UNREACHABLE
+        return LeaseResult.UNUSED
     if isinstance(result, Lost):
-        return LeaseResult.UNUSED if result.idle else LeaseResult.BROKEN
+        if result.idle or result.path_lost:
+            return LeaseResult.UNUSED
+        return LeaseResult.BROKEN
     return LEASE_RESULTS[result.response_class]
--- a/cowslipmill/forwarding/sendresult.py
+++ b/cowslipmill/forwarding/sendresult.py
@@ -14,10 +14,13 @@
     Attributes:
         server: The server's name.
         reason: Why, as written into the log.
+        confirmed: Whether this shows that the server is down, and not only
+            that this host has no path to it.
     """
 
     server: str
     reason: str
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,12 +33,15 @@
         reset: Whether the connection broke.
         idle: Whether the server had dropped the connection while it was
             idle, before the request.
+        path_lost: Whether the path to the server was lost meanwhile, so that
+            the server may not have failed.
     """
 
     server: str
     reason: str
     reset: bool
     idle: bool = False
+    path_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowslipmill/host/tests/test_partition.py
+++ b/cowslipmill/host/tests/test_partition.py
@@ -165,3 +165,20 @@
         [len(host.gossip.suspects.records) for host in large_fleet.hosts],
         Equals([0] * len(large_fleet.hosts)),
     )
+
+
+async def test_a_host_without_help_blocks_no_server(
+    large_fleet: Fleet, partition: Partition
+) -> None:
+    """What it can't reach is not down on its word alone."""
+    (cut,) = cut_hosts(large_fleet, 'one')
+    for host in large_fleet.hosts:
+        host.relay_server.stopping = True
+    await cut_off(large_fleet, partition, [cut], Cut.HANG)
+    await send_requests(large_fleet, [cut], 30)
+    leader = coordinator(large_fleet).lease_manager
+    servers = leader.coordinators['registry', DOMAINS[0]].scheduler.servers
+    assert_that(
+        [server.failure_rate for server in servers.values()],
+        Equals([0.0, 0.0]),
+    )
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -85,12 +85,14 @@
         reason: Why, as written into the log.
         reset: Whether the connection to the server broke.
         idle: Whether the server had dropped the connection before.
+        unreachable: Whether the server could not be reached.
     """
 
     sent: bool
     reason: str
     reset: bool = False
     idle: bool = False
+    unreachable: bool = False
 
 
 class CancelRelay(Struct, frozen=True, array_like=True, tag='cancel-relay'):
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -20,6 +20,7 @@
 from cowslipmill.relays.messages import BUSY
 from cowslipmill.relays.messages import CancelRelay
 from cowslipmill.relays.messages import ISOLATED
+from cowslipmill.relays.messages import OUT_OF_REACH
 from cowslipmill.relays.messages import RelayFailure
 from cowslipmill.relays.messages import RelayOffer
 from cowslipmill.relays.messages import RelayRequest
@@ -83,17 +84,20 @@
         if len(attempt.context.request.body) > MAX_BODY_BYTES:
             return NotSent(server, 'body too large for a relay')
         reason = 'no host to relay'
+        confirmed = False
         for member in self.candidates(attempt)[:MAX_HOSTS_ASKED]:
             reason = await self.ask_offer(attempt, member)
             if reason:
+                confirmed = confirmed or reason == OUT_OF_REACH
                 continue
             result = await self.send_by(attempt, member)
             self.log(attempt, member, result)
             if not isinstance(result, NotSent):
                 return result
             reason = result.reason
+            confirmed = confirmed or result.confirmed
         RELAYS.labels('none').inc()
-        return NotSent(server, f'out of reach; {reason}')
+        return NotSent(server, f'out of reach; {reason}', confirmed)
 
     def candidates(self, attempt: Attempt) -> list[Member]:
         """Returns the hosts that may send a request.
@@ -180,9 +184,12 @@
             return Lost(server, reply.reason, reply.reset, reply.idle)
         if isinstance(reply, Unreachable) and reply.sent:
             self.cancel(member, attempt.grant.key)
-            return Lost(server, f'relay lost: {reply.reason}', False)
+            reason = f'relay lost: {reply.reason}'
+            return Lost(server, reason, False, path_lost=True)
         attempt.withdraw_send()
-        return NotSent(server, getattr(reply, 'reason', 'not relayed'))
+        if isinstance(reply, RelayFailure):
+            return NotSent(server, reply.reason, reply.unreachable)
+        return NotSent(server, 'not relayed')
 
     def cancel(self, member: Member, key: LeaseKey) -> None:
         """Tells a host that a request is not wanted any more."""
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -175,7 +175,7 @@
             async with timeout_at(deadline_at + DEADLINE_GRACE_S):
                 return await self.exchange(outgoing, offer.grant)
         except ConnectFailed as error:
-            return RelayFailure(False, str(error))
+            return RelayFailure(False, str(error), unreachable=True)
         except TimeoutError:
             return RelayFailure(True, 'no answer in time')
 
