Leave servers to another coordinator while a host reaches none of them

Cause: a coordinator that reaches none of its servers goes on deciding. From 28 s on, a-5 granted no lease of scheduler in its domain any more; its hosts' requests waited, were refused, or went to servers of other domains while those of their own were idle.

A coordinator that reaches none of the servers refuses with 'no path to servers', also what is queued, and isn't asked again for 0.5 s. The next one in rank is asked, then hosts of other domains in an order that all agree on, so that one of them counts the slots. If none has a path, the host asks for servers of other domains itself, as before.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -167,7 +167,13 @@
             self.path_checker.dialer, self.paths, header_codec, clock
         )
         self.lease_manager = LeaseManager(
-            self.view, self.member_list, self.rpc, self.prober, clock, random
+            self.view,
+            self.member_list,
+            self.rpc,
+            self.prober,
+            self.path_checker,
+            clock,
+            random,
         )
         idle_limits = IdleLimits(self.gossip, self.rpc, clock)
         crash_tracker = CrashTracker(self.gossip, self.rpc, self.prober, clock)
--- a/cowslipmill/host/tests/test_partition.py
+++ b/cowslipmill/host/tests/test_partition.py
@@ -182,3 +182,19 @@
         [server.failure_rate for server in servers.values()],
         Equals([0.0, 0.0]),
     )
+
+
+async def test_servers_of_a_cut_domain_stay_in_use(
+    large_fleet: Fleet, partition: Partition
+) -> None:
+    """A coordinator that reaches no server leaves its servers to another."""
+    hosts = cut_hosts(large_fleet, 'domain')
+    await cut_off(large_fleet, partition, hosts, Cut.HANG)
+    await send_requests(large_fleet, hosts, 60)
+    before = large_fleet.execution_count()
+    near = [large_fleet.backends[name] for name in ('one', 'two')]
+    runs_before = sum(len(backend.runs) for backend in near)
+    await send_requests(large_fleet, large_fleet.hosts, 2 * REQUESTS)
+    runs = sum(len(backend.runs) for backend in near) - runs_before
+    share = runs / (large_fleet.execution_count() - before)
+    assert_that(share, GreaterThan(1 / 3))
--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -17,6 +17,7 @@
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import LeaseRequest
+from cowslipmill.leasing.leaserequest import NO_PATH
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.leasing.prober import Prober
@@ -40,6 +41,7 @@
     Attributes:
         scheduler: Makes the decisions.
         prober: Probes servers for their load.
+        reaches_servers: Tells whether this host reaches any of the servers.
         acquire_from_others: Requests a lease from other failure domains, for
             a server with at most an expected duration in seconds.
         release_unused: Releases a lease of another failure domain that came
@@ -55,6 +57,7 @@
         self,
         scheduler: SlotScheduler,
         prober: Prober,
+        reaches_servers: Callable[[], bool],
         acquire_from_others: AcquireFromOthers,
         release_unused: ReleaseUnused,
         clock: Callable[[], float],
@@ -63,6 +66,7 @@
         """Starts without requests."""
         self.scheduler = scheduler
         self.prober = prober
+        self.reaches_servers = reaches_servers
         self.acquire_from_others = acquire_from_others
         self.release_unused = release_unused
         self.clock = clock
@@ -114,6 +118,8 @@
             self.wake.clear()
             probed_at = self.clock()
             await self.probe_servers()
+            if not self.reaches_servers():
+                self.give_away_queue()
             decisions = self.scheduler.decide(
                 self.clock(), self.random, probed_at=probed_at
             )
@@ -125,6 +131,14 @@
                 await self.wake.wait()
                 timer.cancel()
 
+    def give_away_queue(self) -> None:
+        """Refuses the requests that another host may coordinate."""
+        for request in list(self.scheduler.queue):
+            if request.may_move and not request.remote_attempt_pending:
+                self.scheduler.cancel(request.key)
+                waiting = len(self.scheduler.queue)
+                self.deliver(Refusal(request.key, NO_PATH, 0.0, waiting))
+
     async def probe_servers(self) -> None:
         """Probes servers until enough free slots at fast ones are known.
 
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -1,7 +1,9 @@
 """Acquires and releases leases, on this host or from other hosts."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from itertools import count
+from itertools import islice
 from random import Random
 
 from msgspec.structs import replace
@@ -9,6 +11,7 @@
 from cowslipmill.fleet.memberlist import MemberList
 from cowslipmill.fleet.messages import AskLease
 from cowslipmill.fleet.messages import CancelLease
+from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.leasing.coordinator import Coordinator
 from cowslipmill.leasing.coordinator import Reply
@@ -17,6 +20,7 @@
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import LeaseResult
+from cowslipmill.leasing.leaserequest import NO_PATH
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.leasing.prober import Prober
@@ -25,11 +29,18 @@
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.requirements import Requirements
 from cowslipmill.leasing.scheduler import SlotScheduler
+from cowslipmill.paths.pathchecker import PathChecker
+from cowslipmill.view.server import ServerRecord
 from cowslipmill.view.view import View
 
 # Coordinators on other hosts that are tried for one request before this host
 # acts as the coordinator.
 MAX_COORDINATORS_TRIED = 2
+# Coordinators that are tried for one request since those before reach no
+# server: so many in the servers' failure domain and so many in the others.
+MAX_COORDINATORS_WITHOUT_PATH = 6
+# Time for which a coordinator that reaches no server isn't asked again.
+NO_PATH_BACKOFF_S = 0.5
 
 
 class LeaseManager:
@@ -47,7 +58,10 @@
         rpc: Calls between hosts.
         prober: Probes servers for their load.
         rate_limits: The rate limits that servers name.
+        checker: Checks the paths to servers.
         client: Requests leases from coordinators on other hosts.
+        no_path_until: Until when coordinators that reach no server aren't
+            asked, in monotonic seconds, by host, service and failure domain.
     """
 
     def __init__(
@@ -56,6 +70,7 @@
         member_list: MemberList,
         rpc: Rpc,
         prober: Prober,
+        checker: PathChecker,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -64,6 +79,8 @@
         self.member_list = member_list
         self.rpc = rpc
         self.prober = prober
+        self.checker = checker
+        self.no_path_until: dict[tuple[str, str, str], float] = {}
         self.rate_limits: RateLimits = prober.rate_limits
         self.client = LeaseClient(member_list, rpc, clock)
         self.clock = clock
@@ -90,6 +107,7 @@
             coordinator = Coordinator(
                 SlotScheduler(failure_domain),
                 self.prober,
+                lambda: self.reaches_servers(service, failure_domain),
                 self.acquire_from_others,
                 self.release_unused,
                 self.clock,
@@ -170,23 +188,93 @@
 
         Tries the ranked coordinators of the service in its failure domain;
         this host decides itself if it is next in rank, or if those tried are
-        unreachable.
+        unreachable or reach no server.
         """
         key: LeaseKey = (self.member_list.own.name, next(self.request_numbers))
-        domain = self.choose_domain(requirements.service)
-        candidates = self.member_list.ranked_members(
-            requirements.service, domain, self.clock()
-        )
-        for member in candidates[:MAX_COORDINATORS_TRIED]:
+        service = requirements.service
+        domain = self.choose_domain(service)
+        unreachable = 0
+        for member in self.ranked_coordinators(service, domain):
             if member.name == self.member_list.own.name:
-                break
-            reply = await self.client.acquire(
-                key, requirements, member, domain
-            )
-            if reply is not None:
+                reply: Reply | None = await self.acquire_locally(
+                    key, requirements, domain, may_move=True
+                )
+            else:
+                reply = await self.client.acquire(
+                    key, requirements, member, domain
+                )
+            if reply is None:
+                unreachable += 1
+                if unreachable == MAX_COORDINATORS_TRIED:
+                    break
+            elif not self.has_no_path(reply, member, service, domain):
                 return reply
         return await self.acquire_locally(key, requirements, domain)
 
+    def ranked_coordinators(
+        self, service: str, failure_domain: str
+    ) -> Iterator[Member]:
+        """Yields the hosts that may coordinate servers, best ones first.
+
+        They are those of the servers' failure domain, then of the others, in
+        an order in which hosts with the same members agree. Those that are
+        known to reach no server are left out.
+        """
+        now = self.clock()
+        for purpose, domain in (
+            (service, failure_domain),
+            (f'{service}/{failure_domain}', ''),
+        ):
+            usable = (
+                member
+                for member in self.member_list.ranked_members(
+                    purpose, domain, now
+                )
+                if (domain or member.failure_domain != failure_domain)
+                and self.may_have_path(member, service, failure_domain, now)
+            )
+            yield from islice(usable, MAX_COORDINATORS_WITHOUT_PATH)
+
+    def may_have_path(
+        self, member: Member, service: str, failure_domain: str, now: float
+    ) -> bool:
+        """Returns whether a host is not known to reach no server."""
+        if member.name == self.member_list.own.name:
+            return self.reaches_servers(service, failure_domain)
+        until = self.no_path_until.get((member.name, service, failure_domain))
+        return until is None or now >= until
+
+    def has_no_path(
+        self, reply: Reply, member: Member, service: str, failure_domain: str
+    ) -> bool:
+        """Returns whether a coordinator replied that it reaches no server.
+
+        It isn't asked again for some time then.
+        """
+        if not isinstance(reply, Refusal) or reply.reason != NO_PATH:
+            return False
+        key = (member.name, service, failure_domain)
+        self.no_path_until[key] = self.clock() + NO_PATH_BACKOFF_S
+        return True
+
+    def reaches_servers(self, service: str, failure_domain: str) -> bool:
+        """Returns whether this host reaches any server over its own links.
+
+        Requests a check of one of them if it doesn't. True if there are none.
+        """
+        paths = self.checker.paths
+        records: list[ServerRecord] = []
+        for entry in self.view.available_servers(service):
+            if entry.record.failure_domain != failure_domain:
+                continue
+            if not paths.is_lost(entry.record.address):
+                return True
+            records.append(entry.record)
+        if not records:
+            return True
+        self.checker.request_check(self.random.choice(records))
+        return False
+
     def choose_domain(self, service: str) -> str:
         """Returns the failure domain in which a lease is requested.
 
@@ -199,10 +287,25 @@
         return other_domains[0] if other_domains else self.domain
 
     async def acquire_locally(
-        self, key: LeaseKey, requirements: Requirements, failure_domain: str
+        self,
+        key: LeaseKey,
+        requirements: Requirements,
+        failure_domain: str,
+        *,
+        may_move: bool = False,
     ) -> Grant | Refusal:
-        """Acquires a lease from this host's own coordinator."""
-        request = LeaseRequest(key, requirements, self.clock())
+        """Acquires a lease from this host's own coordinator.
+
+        Args:
+            key: Key of the lease.
+            requirements: What the request requires of a server.
+            failure_domain: Failure domain whose servers are wanted.
+            may_move: Whether to refuse with `NO_PATH` if this host reaches
+                none of them.
+        """
+        request = LeaseRequest(
+            key, requirements, self.clock(), may_move=may_move
+        )
         reply = await self.local_coordinator(
             requirements.service, failure_domain
         ).acquire(request)
@@ -269,22 +372,25 @@
     ) -> Grant | Refusal | None:
         """Requests a lease from one other failure domain.
 
-        If no host there is reachable, this host coordinates its servers.
+        If no host is reachable that reaches servers there, this host
+        coordinates them.
 
         Returns:
             The decision; None if the coordinator didn't reply in time.
         """
-        now = self.clock()
-        candidates = self.member_list.ranked_members(
-            requirements.service, failure_domain, now
-        )
-        if not candidates:
-            return await self.acquire_locally(
-                key, requirements, failure_domain
+        service = requirements.service
+        candidates = self.ranked_coordinators(service, failure_domain)
+        for member in islice(candidates, MAX_COORDINATORS_TRIED):
+            if member.name == self.member_list.own.name:
+                break
+            reply = await self.client.try_acquire(
+                key, requirements, member, failure_domain
             )
-        return await self.client.try_acquire(
-            key, requirements, candidates[0], failure_domain
-        )
+            if reply is None:
+                return None
+            if not self.has_no_path(reply, member, service, failure_domain):
+                return reply
+        return await self.acquire_locally(key, requirements, failure_domain)
 
     def release_unused(self, request: LeaseRequest, grant: Grant) -> None:
         """Releases a lease that wasn't used."""
@@ -344,8 +450,10 @@
             excluded=message.excluded,
             max_duration_s=message.max_duration_s,
         )
+        if not self.reaches_servers(message.service, message.failure_domain):
+            return Refusal(message.key, NO_PATH, 0.0, 0)
         return await self.acquire_locally(
-            message.key, requirements, message.failure_domain
+            message.key, requirements, message.failure_domain, may_move=True
         )
 
     async def on_cancel_lease(self, message: CancelLease, sender: str) -> None:
--- a/cowslipmill/leasing/leaserequest.py
+++ b/cowslipmill/leasing/leaserequest.py
@@ -9,6 +9,10 @@
 
 LeaseKey = tuple[str, int]
 
+# Reason of a refusal by a coordinator that reaches none of its servers;
+# another host may.
+NO_PATH = 'no path to servers'
+
 
 class LeaseResult(IntEnum):
     """How a lease ended.
@@ -52,6 +56,8 @@
             each request is put until the first decision on it.
         admitted_late: Whether admission control let it stay in the queue
             although it will be late.
+        may_move: Whether another host may coordinate it if this one reaches
+            none of the servers.
     """
 
     __slots__ = (
@@ -59,15 +65,22 @@
         'admitted_late',
         'arrived_at',
         'key',
+        'may_move',
         'next_remote_attempt_at',
         'remote_attempt_pending',
         'requirements',
     )
 
     def __init__(
-        self, key: LeaseKey, requirements: Requirements, arrived_at: float
+        self,
+        key: LeaseKey,
+        requirements: Requirements,
+        arrived_at: float,
+        *,
+        may_move: bool = False,
     ) -> None:
         """Creates a request that is not yet admitted."""
+        self.may_move = may_move
         self.key = key
         self.requirements = requirements
         self.arrived_at = arrived_at
