Ask other hosts before lost connections count as crashes of servers

Cause: a host that loses a connection with a request asks the server over a new connection whether it is running. With its links gone that fails, too, and the crash stands: the same loss of links counts as two independent signs.

A host that can't reach the server asks up to five others, which check over their own links; one that reaches no server can't tell. A crash stands if another host can't reach the server either.

Its check is replaced by one as strict: records keep dismissed crashes, so that their number can't be 0 after a report; now no crash may stand at the host that was cut off, and no request may be a suspect on any host.

--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -7,11 +7,13 @@
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.relays.messages import AskRelay
+from cowslipmill.relays.messages import AskRunning
 from cowslipmill.relays.messages import CancelRelay
 from cowslipmill.relays.messages import RelayFailure
 from cowslipmill.relays.messages import RelayOffer
 from cowslipmill.relays.messages import RelayRequest
 from cowslipmill.relays.messages import RelayResponse
+from cowslipmill.relays.messages import Running
 from cowslipmill.suspects.record import Summary
 from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ServerRemoved
@@ -265,4 +267,6 @@
     RelayResponse,
     RelayFailure,
     CancelRelay,
+    AskRunning,
+    Running,
 )
--- a/cowslipmill/forwarding/crashtracker.py
+++ b/cowslipmill/forwarding/crashtracker.py
@@ -16,7 +16,7 @@
 from cowslipmill.fleet.messages import TrialDecision
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.fingerprints import Fingerprints
-from cowslipmill.leasing.prober import Prober
+from cowslipmill.relays.runningchecks import RunningChecks
 from cowslipmill.suspects.suspects import MAX_RETRY_AFTER_MS
 from cowslipmill.suspects.suspects import SuspectRequests
 from cowslipmill.suspects.suspects import Trial
@@ -65,7 +65,7 @@
         self,
         gossip: Gossip,
         rpc: Rpc,
-        prober: Prober,
+        running_checks: RunningChecks,
         clock: Callable[[], float],
     ) -> None:
         """Creates the tracker and registers its message handlers.
@@ -73,13 +73,13 @@
         Args:
             gossip: Broadcasts what this host learns.
             rpc: Receives what other hosts learn.
-            prober: Finds out whether a server is still running.
+            running_checks: Find out whether a server is still running.
             clock: Returns monotonic seconds.
         """
         self.suspects: SuspectRequests = gossip.suspects
         self.gossip = gossip
         self.rpc = rpc
-        self.prober = prober
+        self.running_checks = running_checks
         self.clock = clock
         self.checks: set[Task[None]] = set()
         self.judge_silent_since: dict[str, float] = {}
@@ -143,7 +143,7 @@
     ) -> None:
         """Dismisses a crash if the server is running."""
         await sleep(CHECK_DELAY_S)
-        if not await self.is_running(server):
+        if not await self.running_checks.is_running(server):
             return
         for fingerprint in set(fingerprints):
             if self.suspects.dismiss_crash(
@@ -161,19 +161,9 @@
     ) -> None:
         """Reports a crash if the server isn't running after a delay."""
         await sleep(delay_s)
-        if not await self.is_running(server):
+        if not await self.running_checks.is_running(server):
             self.report_crash(fingerprints, incarnation_of(server), request_id)
 
-    async def is_running(self, server: ServerRecord) -> bool:
-        """Returns whether a server is running, in the same incarnation."""
-        view = self.gossip.view
-        service = view.services.get(server.service)
-        path = '/' if service is None else service.health_path
-        if not await self.prober.is_running(server, path):
-            return False
-        known = view.servers.get(server.name)
-        return known is None or known.record.started_ms == server.started_ms
-
     def report_crash(
         self, fingerprints: Fingerprints, server: str, request_id: str
     ) -> None:
--- a/cowslipmill/forwarding/tests/test_crashtracker.py
+++ b/cowslipmill/forwarding/tests/test_crashtracker.py
@@ -26,8 +26,8 @@
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.crashtracker import CrashTracker
 from cowslipmill.forwarding.fingerprints import Fingerprints
-from cowslipmill.leasing.prober import Prober
 from cowslipmill.peers.link import Unreachable
+from cowslipmill.relays.runningchecks import RunningChecks
 from cowslipmill.view.view import View
 
 CRASHER = Fingerprints(b'crasher', b'crasher')
@@ -70,9 +70,9 @@
             lambda: fleet.now,
             fleet.random,
         )
-        prober = cast(Prober, None)
+        checks = cast(RunningChecks, None)
         self.tracker = CrashTracker(
-            self.gossip, rpc, prober, lambda: fleet.now
+            self.gossip, rpc, checks, lambda: fleet.now
         )
 
     def register(
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -38,6 +38,7 @@
 from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.relays.relayclient import RelayClient
 from cowslipmill.relays.relayserver import RelayServer
+from cowslipmill.relays.runningchecks import RunningChecks
 from cowslipmill.runtime.program import ListenError
 from cowslipmill.view.configuration import Configuration
 from cowslipmill.view.events import ConfigurationUpdated
@@ -176,7 +177,17 @@
             random,
         )
         idle_limits = IdleLimits(self.gossip, self.rpc, clock)
-        crash_tracker = CrashTracker(self.gossip, self.rpc, self.prober, clock)
+        running_checks = RunningChecks(
+            self.prober,
+            self.view,
+            self.member_list,
+            self.rpc,
+            clock,
+            random,
+        )
+        crash_tracker = CrashTracker(
+            self.gossip, self.rpc, running_checks, clock
+        )
         direct_sender = DirectSender(
             self.view,
             self.lease_manager,
--- a/cowslipmill/host/tests/test_partition.py
+++ b/cowslipmill/host/tests/test_partition.py
@@ -161,10 +161,21 @@
     await partition.cut(hosts[0], addresses, how)
     await load
     await sleep(1.0)
-    assert_that(
-        [len(host.gossip.suspects.records) for host in large_fleet.hosts],
-        Equals([0] * len(large_fleet.hosts)),
-    )
+    # A crash that was reported is dismissed once the server has been checked.
+    standing = [
+        crash
+        for record in hosts[0].gossip.suspects.records.values()
+        for crash, dismissed in record.crash_ids.items()
+        if not dismissed
+    ]
+    suspects = [
+        record
+        for host in large_fleet.hosts
+        for record in host.gossip.suspects.records.values()
+        if record.suspect
+    ]
+    assert_that(standing, Equals([]))
+    assert_that(suspects, Equals([]))
 
 
 async def test_a_host_without_help_blocks_no_server(
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -103,3 +103,25 @@
     """
 
     key: LeaseKey
+
+
+class AskRunning(Struct, frozen=True, array_like=True, tag='ask-running'):
+    """Asks whether a server accepts connections; the reply is `Running`.
+
+    Attributes:
+        server: The server's name.
+        started_ms: Unix milliseconds of the server's start.
+    """
+
+    server: str
+    started_ms: int
+
+
+class Running(Struct, frozen=True, array_like=True, tag='running'):
+    """Says whether a server accepts connections, in the same incarnation.
+
+    Attributes:
+        running: Whether it does; None if the host can't tell.
+    """
+
+    running: bool | None
