Soak: hosts lose their links to all servers

One host, every second one or most of them, hanging or reset, once to three times a seed, overlapping with the other faults. The cuts are drawn apart, so that the faults of a seed stay as they were. Proxies before the servers tell hosts apart by server_source_ip, the local address of their connections.

--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -11,7 +11,9 @@
 
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.runtime.program import run_program
+from cowslipmill.soak.plan import draw_link_cuts
 from cowslipmill.soak.plan import draw_plan
+from cowslipmill.soak.plan import LinkCut
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.world import World
 
@@ -70,7 +72,11 @@
             await sleep(WARM_UP_S)
             world.limit_server(seed)
             crasher = create_task(world.crash_servers(seed))
-            await play(world, draw_plan(seed, seconds))
+            await play(
+                world,
+                draw_plan(seed, seconds),
+                draw_link_cuts(seed, seconds, hosts),
+            )
             crasher.cancel()
             await sleep(RECOVERY_S)
             calm_at = loop.time()
@@ -87,14 +93,21 @@
     return outcome
 
 
-async def play(world: World, steps: list[Step]) -> None:
-    """Does the faults of a plan, each at its time."""
+async def play(world: World, steps: list[Step], cuts: list[LinkCut]) -> None:
+    """Does the faults and cuts of a plan, each at its time."""
 
     async def do_later(step: Step) -> None:
         await sleep(step.at_s)
         await world.do(step)
 
-    await gather(*(do_later(step) for step in steps))
+    async def cut_later(cut: LinkCut) -> None:
+        await sleep(cut.at_s)
+        await world.cut_links(cut)
+
+    await gather(
+        *(do_later(step) for step in steps),
+        *(cut_later(cut) for cut in cuts),
+    )
 
 
 def keep_logs(folder: Path, seed: int, outcome: Outcome) -> None:
--- a/cowslipmill/soak/plan.py
+++ b/cowslipmill/soak/plan.py
@@ -67,3 +67,48 @@
         # A series in short steps now and then.
         at_s += random.choice((0.05, 0.4, 1.0, 1.5))
     return steps
+
+
+class LinkCut(Struct, frozen=True):
+    """Hosts that lose their links to all servers.
+
+    Attributes:
+        at_s: When it begins, from the start of the load.
+        for_s: How long it lasts.
+        hosts: Numbers of the hosts.
+        resets: Whether connections are reset; else they hang.
+    """
+
+    at_s: float
+    for_s: float
+    hosts: tuple[int, ...]
+    resets: bool
+
+
+def draw_link_cuts(
+    seed: int, seconds: float, host_count: int
+) -> list[LinkCut]:
+    """Returns the cuts of a seed: of one host, every second one or most.
+
+    They are drawn apart from the other faults and overlap with them.
+
+    Args:
+        seed: The soak's seed.
+        seconds: Length of the time with faults.
+        host_count: Number of hosts.
+    """
+    random = Random(f'link cuts {seed}')
+    cuts = []
+    for _ in range(random.randint(1, 3)):
+        first = random.randrange(host_count)
+        numbers = [(first + n) % host_count for n in range(host_count)]
+        hosts = random.choice((numbers[:1], numbers[::2], numbers[:-1]))
+        cuts.append(
+            LinkCut(
+                random.uniform(0.0, seconds * 0.7),
+                random.uniform(0.5, 3.0),
+                tuple(hosts),
+                random.random() < 0.5,
+            )
+        )
+    return cuts
--- a/cowslipmill/soak/proxy.py
+++ b/cowslipmill/soak/proxy.py
@@ -24,6 +24,10 @@
         silent: Whether nothing is carried, either way, and nothing closes.
         deaf: Whether what the target says is held back: a cut one way.
         refusing: Whether new connections are reset.
+        cut_sources: IP addresses from which nothing is carried, each with
+            whether its new connections are reset.
+        sources: The IP address that each open connection came from, by both
+            of its ends.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -33,6 +37,8 @@
         self.silent = False
         self.deaf = False
         self.refusing = False
+        self.cut_sources: dict[str, bool] = {}
+        self.sources: dict[StreamWriter, str] = {}
         self.address = ('127.0.0.1', 0)
         self.server: Server | None = None
         self.writers: set[StreamWriter] = set()
@@ -49,6 +55,28 @@
         self.delay_s = 0.0
         self.silent = self.deaf = self.refusing = False
 
+    def cut_source(self, source: str, *, resets: bool) -> None:
+        """Carries nothing from an IP address any more.
+
+        Args:
+            source: The IP address.
+            resets: Whether its connections are reset; else they hang.
+        """
+        self.cut_sources[source] = resets
+        if resets:
+            self.reset_source(source)
+
+    def mend_source(self, source: str) -> None:
+        """Carries new connections from an IP address again."""
+        self.cut_sources.pop(source, None)
+        self.reset_source(source)
+
+    def reset_source(self, source: str) -> None:
+        """Resets every open connection from an IP address."""
+        for writer, found in list(self.sources.items()):
+            if found == source:
+                reset(writer)
+
     def reset_all(self) -> None:
         """Resets every open connection."""
         for writer in list(self.writers):
@@ -64,7 +92,8 @@
 
     async def carry(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Carries one connection."""
-        if self.refusing:
+        source = writer.get_extra_info('peername')[0]
+        if self.refusing or self.cut_sources.get(source):
             reset(writer)
             return
         try:
@@ -73,6 +102,7 @@
             reset(writer)
             return
         self.writers |= {writer, there[1]}
+        self.sources |= {writer: source, there[1]: source}
         for source, sink, back in (
             (reader, there[1], False),
             (there[0], writer, True),
@@ -88,7 +118,7 @@
         try:
             while data := await source.read(CHUNK_BYTES):
                 await sleep(self.delay_s)
-                while self.silent or (back and self.deaf):
+                while self.holds(sink, back=back):
                     await sleep(PAUSE_S)
                 sink.write(data)
                 await sink.drain()
@@ -97,3 +127,9 @@
             reset(sink)
         finally:
             self.writers.discard(sink)
+            self.sources.pop(sink, None)
+
+    def holds(self, sink: StreamWriter, *, back: bool) -> bool:
+        """Returns whether nothing is written to one end of a connection."""
+        cut = self.sources.get(sink) in self.cut_sources
+        return self.silent or cut or (back and self.deaf)
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -33,6 +33,7 @@
 from cowslipmill.soak.ledger import CRASHER
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.plan import Fault
+from cowslipmill.soak.plan import LinkCut
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.proxy import Proxy
 from cowslipmill.standin import backend as standin
@@ -188,6 +189,7 @@
             retry_reserve=64.0,
             leaving_s=2.0,
             peer_address=peer.address,
+            server_source_ip=callers[0],
         )
         host = HostProcess(settings, peer, store)
         self.hosts.append(host)
@@ -244,6 +246,21 @@
         else:
             await self.do_to_store(step)
 
+    async def cut_links(self, cut: LinkCut) -> None:
+        """Cuts hosts off from all servers and ends that after its time."""
+        sources = [
+            self.hosts[number].settings.server_source_ip
+            for number in cut.hosts
+        ]
+        proxies = list(self.links.values())
+        for proxy in proxies:
+            for source in sources:
+                proxy.cut_source(source, resets=cut.resets)
+        await sleep(cut.for_s)
+        for proxy in proxies:
+            for source in sources:
+                proxy.mend_source(source)
+
     async def do_to_host(self, step: Step, host: HostProcess) -> None:
         """Signals a host's process."""
         if not self.launcher.is_running(host.name):
