Send nothing new to a server that says in a response that it leaves

A response or health response with it makes that incarnation leave in the view of the host, whatever its entry in the store says later, and all hosts are told.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -19,6 +19,7 @@
 from cowslipmill.fleet.messages import NewsEvent
 from cowslipmill.fleet.messages import Ping
 from cowslipmill.fleet.messages import Pong
+from cowslipmill.fleet.messages import ServerLeaving
 from cowslipmill.fleet.messages import Suspects
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.peers.link import Unreachable
@@ -99,6 +100,7 @@
         rpc.register(Leaving, self.on_leaving)
         rpc.register(News, self.on_news)
         rpc.register(AskSnapshot, self.on_ask_snapshot)
+        rpc.register(ServerLeaving, self.on_server_leaving)
 
     @Service.task
     async def greet_seeds(self) -> None:
@@ -283,6 +285,26 @@
         self.relay(message)
         LOG.info('host leaving', extra={'peer': message.name})
 
+    def report_server_leaving(self, name: str, started_ms: int) -> None:
+        """Records and broadcasts that a server said that it leaves.
+
+        Args:
+            name: The server's name.
+            started_ms: Unix milliseconds of the server's start.
+        """
+        applied = self.view.record_leaving(name, started_ms)
+        if applied:
+            self.on_events(applied, 'server')
+            self.broadcast(ServerLeaving(name, started_ms))
+
+    async def on_server_leaving(
+        self, message: ServerLeaving, sender: str
+    ) -> None:
+        """Records what a server said to another host and passes it on."""
+        applied = self.view.record_leaving(message.name, message.started_ms)
+        self.on_events(applied, sender)
+        self.relay(message)
+
     async def on_ask_snapshot(
         self, message: AskSnapshot, sender: str
     ) -> Snapshot:
--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -239,7 +239,25 @@
     relay: bool = False
 
 
-BroadcastMessage = Members | Leaving | News | Suspects | IdleLoss
+class ServerLeaving(
+    Struct, frozen=True, array_like=True, tag='server-leaving'
+):
+    """A server said in a response that it leaves.
+
+    Attributes:
+        name: The server's name.
+        started_ms: Unix milliseconds of the server's start.
+        relay: Whether the receiver passes it on in its failure domain.
+    """
+
+    name: str
+    started_ms: int
+    relay: bool = False
+
+
+BroadcastMessage = (
+    Members | Leaving | News | Suspects | IdleLoss | ServerLeaving
+)
 
 
 MESSAGES = (
@@ -269,4 +287,5 @@
     CancelRelay,
     AskRunning,
     Running,
+    ServerLeaving,
 )
--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -66,6 +66,8 @@
         idle_limits: How long connections may be idle, by service.
         header_codec: Reads and writes HTTP headers of callers and servers.
         pool: Idle connections by server.
+        on_leaving: Called with the name and the start of a server that says
+            that it leaves.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         idle_limits: IdleLimits,
         header_codec: HeaderCodec,
         clock: Callable[[], float],
+        on_leaving: Callable[[str, int], None],
     ) -> None:
         """Creates the sender without connections.
 
@@ -87,7 +90,10 @@
             idle_limits: How long connections may be idle, by service.
             header_codec: Reads and writes HTTP headers of callers and servers.
             clock: Returns monotonic seconds.
+            on_leaving: Called with the name and the start of a server that
+                says that it leaves.
         """
+        self.on_leaving = on_leaving
         self.view = view
         self.lease_manager = lease_manager
         self.dialer: Dialer = checker.dialer
@@ -216,9 +222,11 @@
             self.checker.request_check(server)
 
     def classify(self, server: ServerRecord, response: Response) -> Sent:
-        """Returns a server's response and records the limit that it names."""
+        """Returns a server's response and records what it says of itself."""
         response_class = self.header_codec.classify(response)
         if response_class not in OTHER_SENDER_CLASSES:
+            if self.header_codec.announces_leaving(response):
+                self.on_leaving(server.name, server.started_ms)
             limits = self.lease_manager.rate_limits
             known_per_s = limits.per_s(server.name, server.started_ms)
             per_s = self.header_codec.rate_limit(response, known_per_s)
--- a/cowslipmill/forwarding/headercodec.py
+++ b/cowslipmill/forwarding/headercodec.py
@@ -91,6 +91,9 @@
             Requests a second from all hosts together; None for no limit.
         """
 
+    def announces_leaving(self, response: Response) -> bool:
+        """Returns whether a server says that it wants no new requests."""
+
     def caller_response(self, response: Response) -> Response:
         """Returns the response to send to the caller for a server's one."""
 
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -165,7 +165,11 @@
             random,
         )
         self.prober = Prober(
-            self.path_checker.dialer, self.paths, header_codec, clock
+            self.path_checker.dialer,
+            self.paths,
+            header_codec,
+            clock,
+            self.gossip.report_server_leaving,
         )
         self.lease_manager = LeaseManager(
             self.view,
@@ -195,6 +199,7 @@
             idle_limits,
             header_codec,
             clock,
+            self.gossip.report_server_leaving,
         )
         self.relay_server = RelayServer(direct_sender, self.rpc, clock)
         self.sender = Sender(
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -41,6 +41,8 @@
         connections: Connections by server address.
         in_progress: Addresses of the servers being probed.
         rate_limits: The rate limits that servers name.
+        on_leaving: Called with the name and the start of a server that says
+            that it leaves.
     """
 
     def __init__(
@@ -49,8 +51,10 @@
         paths: ServerPaths,
         header_codec: HeaderCodec,
         clock: Callable[[], float],
+        on_leaving: Callable[[str, int], None],
     ) -> None:
         """Starts without connections."""
+        self.on_leaving = on_leaving
         self.dialer = dialer
         self.paths = paths
         self.header_codec = header_codec
@@ -102,6 +106,8 @@
             return
         LOAD_PROBES.labels('answered').inc()
         server.record_load(load, sampled_at, self.clock())
+        if self.header_codec.announces_leaving(response):
+            self.on_leaving(server.name, server.record.started_ms)
         per_s = self.header_codec.rate_limit(response, None)
         # A health response without a limit doesn't say that it has ended.
         if per_s is not None:
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -19,6 +19,7 @@
 from cowslipmill.platform.headers import NOT_EXECUTED
 from cowslipmill.platform.headers import REQUEST_ID
 from cowslipmill.platform.headers import RETRY_AFTER
+from cowslipmill.platform.headers import SERVER_LEAVING
 from cowslipmill.platform.headers import SERVER_LIMIT
 from cowslipmill.platform.headers import SERVER_LOAD
 from cowslipmill.platform.headers import SERVER_NAME
@@ -136,6 +137,10 @@
             return known_per_s
         return per_s
 
+    def announces_leaving(self, response: Response) -> bool:
+        """Returns whether a server says that it wants no new requests."""
+        return response.header(SERVER_LEAVING).strip() == b'1'
+
     def caller_response(self, response: Response) -> Response:
         """Returns the response to send to the caller for a server's one."""
         headers = [
--- a/cowslipmill/platform/headers.py
+++ b/cowslipmill/platform/headers.py
@@ -10,6 +10,8 @@
 SERVER_LOAD = b'x-server-load'
 # Requests a second that the server accepts from all hosts together.
 SERVER_LIMIT = b'server-limit'
+# `1` if the server stops soon and wants no new requests.
+SERVER_LEAVING = b'server-leaving'
 # Present if the server did not execute the request.
 NOT_EXECUTED = b'x-not-executed'
 RETRY_AFTER = b'retry-after'
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -97,6 +97,7 @@
         fault: What it does wrong.
         limit_per_s: Requests a second that it says it takes; None for none.
         limits_health: Whether its health answers name the limit, too.
+        says_leaving: Whether its answers say that it leaves.
         hangs_when_full: Whether it hangs instead of shedding.
         crash_marker: A request whose target holds it crashes the server,
             which starts again after `CRASH_DOWN_S`; empty for none.
@@ -116,6 +117,7 @@
         self.fault = Fault.NONE
         self.limit_per_s: float | None = None
         self.limits_health = False
+        self.says_leaving = False
         self.hangs_when_full = False
         self.crash_marker = ''
         self.crashes_silently = False
@@ -325,6 +327,8 @@
         """Writes an answer with a length and the server's load."""
         percent = int(self.slowdown * 100)
         load = f'{self.running},0,{self.slots},{percent}'
+        if self.says_leaving:
+            head += 'server-leaving: 1\r\n'
         lines = (
             f'HTTP/1.1 {status} Status\r\n{head}x-server-load: {load}\r\n'
             f'content-length: {len(body)}\r\n\r\n'
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -61,6 +61,8 @@
 
     Attributes:
         leaving_s: Seconds for which a leaving server still serves.
+        announced_leaving: Starts, in Unix milliseconds, of the servers that
+            said themselves that they leave, by name.
         configuration: The highest version seen; None if none was.
         previous_configuration: The version that was in force before it.
         services: The configuration's services by name.
@@ -81,6 +83,7 @@
     def __init__(self, *, leaving_s: float = DEFAULT_LEAVING_S) -> None:
         """Starts with an empty view."""
         self.leaving_s = leaving_s
+        self.announced_leaving: dict[str, int] = {}
         self.configuration: Configuration | None = None
         self.previous_configuration: Configuration | None = None
         self.services: dict[str, Service] = {}
@@ -161,6 +164,8 @@
         record = event.record
         if self.removed_revisions.get(record.name, 0) >= event.revision:
             return False
+        if self.announced_leaving.get(record.name) == record.started_ms:
+            record = replace(record, leaving=True)
         known = self.servers.get(record.name)
         if known is None:
             self.servers[record.name] = KnownServer(record, event.revision)
@@ -178,6 +183,31 @@
             known.record = record
         return changed
 
+    def record_leaving(self, name: str, started_ms: int) -> list[StoreEvent]:
+        """Records that a server itself said that it leaves.
+
+        It stands for this incarnation, whatever its entry in the store says.
+        Beyond `MAX_REMOVED_SERVERS` the earliest ones are forgotten.
+
+        Args:
+            name: The server's name.
+            started_ms: Unix milliseconds of the server's start.
+
+        Returns:
+            The change of the view, if there is one.
+        """
+        known = self.servers.get(name)
+        if known is None or known.record.started_ms != started_ms:
+            return []
+        self.announced_leaving[name] = started_ms
+        if len(self.announced_leaving) > MAX_REMOVED_SERVERS:
+            del self.announced_leaving[next(iter(self.announced_leaving))]
+        if known.record.leaving:
+            return []
+        known.record = replace(known.record, leaving=True)
+        self.generation += 1
+        return [ServerUpdated(known.record, known.revision)]
+
     @apply_event.register
     def apply_removal(self, event: ServerRemoved, now: float) -> bool:
         """Drops a server that had announced to leave; marks others missing."""
