--- a/cowslipmill/host/tests/test_deploy.py
+++ b/cowslipmill/host/tests/test_deploy.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parents[3]
 LIST_MODULES_CODE = (
-    'import sys; import cowslipmill.host.main; '
+    'import sys; import cowslipmill.host.program; '
     'print("\\n".join({name.partition(".")[0] for name in sys.modules}))'
 )
 
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -10,6 +10,8 @@
 from signal import SIGKILL
 from signal import SIGSTOP
 from signal import SIGTERM
+import subprocess
+import sys
 
 import pytest
 import pytest_asyncio
@@ -180,3 +182,27 @@
     status = await processes.terminate_then_kill(0)
     request_task.cancel()
     assert_that(status, Equals(0))
+
+
+# Sends the process a signal as soon as it loads a module of the program.
+SIGNAL_WHILE_LOADING = """
+from os import getpid
+from os import kill
+from signal import SIGHUP
+import sys
+
+class SignalOnImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'cowslipmill.host.host':
+            kill(getpid(), SIGHUP)
+
+sys.meta_path.insert(0, SignalOnImport())
+from cowslipmill.host.main import run
+run()
+"""
+
+
+def test_a_reload_while_it_is_loaded_ends_no_host() -> None:
+    """SIGHUP ends a process that has no handler for it yet."""
+    command = [sys.executable, '-c', SIGNAL_WHILE_LOADING, '--version']
+    assert_that(subprocess.run(command, check=False).returncode, Equals(0))
