Test that a planned stop under load cuts off no request that ran

Operators told us of requests that were cut off right after they had been accepted, during a planned stop under load. Callers go on until the process is gone, on old and new connections: each request that ran was answered, in three runs of the test. Nothing was found here, and nothing is changed.

--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -1,11 +1,13 @@
 """Tests that a host process stops before the platform kills it."""
 
 from asyncio import create_task
+from asyncio import gather
 from asyncio import get_running_loop
 from asyncio import sleep
 from asyncio import Task
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from itertools import count
 from signal import SIGCONT
 from signal import SIGKILL
 from signal import SIGSTOP
@@ -17,6 +19,7 @@
 import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.host.tests.conftest import DOMAINS
@@ -26,6 +29,8 @@
 from cowslipmill.host.tests.conftest import WAIT_S
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.serverconnection import ConnectFailed
+from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.launch.network import Network
@@ -184,6 +189,75 @@
     assert_that(status, Equals(0))
 
 
+class StubbornCaller:
+    """Sends requests to a host for as long as it takes connections.
+
+    Attributes:
+        address: The host's address for callers.
+        keeps_connection: Whether it uses a connection until it is closed,
+            also after `Connection: close`.
+        answered: Ids of the requests that were answered.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], *, keeps_connection: bool
+    ) -> None:
+        """Starts without requests."""
+        self.address = address
+        self.keeps_connection = keeps_connection
+        self.answered: set[str] = set()
+
+    async def send_requests(self, name: str) -> None:
+        """Sends requests one after the other until the host is gone."""
+        connection = None
+        for number in count():
+            request_id = f'{name}-{number}'
+            headers = [
+                (b'host', HOST_HEADER.encode()),
+                (b'x-request-id', request_id.encode()),
+                (b'x-deadline-ms', b'600'),
+            ]
+            request = Request(b'POST', b'/book/stop', headers, b'body')
+            try:
+                if connection is None or not connection.usable:
+                    connection = await open_connection(self.address, 1.0)
+                await connection.exchange(request)
+            except ConnectFailed:
+                return
+            except ExchangeFailed:
+                connection = None
+                continue
+            self.answered.add(request_id)
+            if not self.keeps_connection:
+                connection.close()
+                connection = None
+
+
+async def test_a_planned_stop_cuts_off_no_request_that_ran(
+    processes: HostProcesses,
+) -> None:
+    """Callers go on until the process is gone, on old and new connections."""
+    processes.backend.slots = 16
+    processes.backend.work_s = 0.05
+    address = processes.settings[0].callers_listen
+    callers = [
+        StubbornCaller(address, keeps_connection=number % 2 == 0)
+        for number in range(8)
+    ]
+    loads = [
+        create_task(caller.send_requests(f'caller{number}'))
+        for number, caller in enumerate(callers)
+    ]
+    await sleep(0.5)
+    status = await processes.terminate_then_kill(0)
+    await gather(*loads)
+    answered = {i for caller in callers for i in caller.answered}
+    executed = {run.request_id for run in processes.backend.runs}
+    assert_that(status, Equals(0))
+    assert_that(len(executed), GreaterThan(50))
+    assert_that(executed - answered, Equals(set()))
+
+
 # Sends the process a signal as soon as it loads a module of the program.
 SIGNAL_WHILE_LOADING = """
 from os import getpid
