--- a/cowslipmill/host/tests/test_serverleaving.py
+++ b/cowslipmill/host/tests/test_serverleaving.py
@@ -82,3 +82,19 @@
     before = len(backend.runs)
     await send_to_all(large_fleet, 80)
     assert_that(len(backend.runs), GreaterThan(before))
+
+
+@pytest.mark.parametrize('store_up', [True, False])
+async def test_a_host_that_starts_knows_which_servers_leave(
+    large_fleet: Fleet, store_up: bool
+) -> None:
+    """The store's entry may still say that the server is ready."""
+    backend = await announce_leaving(large_fleet)
+    large_fleet.store.busy = not store_up
+    await large_fleet.add_host()
+    await large_fleet.wait_until_ready()
+    await sleep(NOTICE_S)
+    before = len(backend.runs)
+    statuses = await send_to_all(large_fleet)
+    assert_that(set(statuses), Equals({200}))
+    assert_that(len(backend.runs), Equals(before))
