--- a/cowslipmill/host/tests/test_serverleaving.py
+++ b/cowslipmill/host/tests/test_serverleaving.py
@@ -4,6 +4,7 @@
 yet, or can't be reached.
 """
 
+from asyncio import get_running_loop
 from asyncio import sleep
 
 import pytest
@@ -13,6 +14,7 @@
 
 from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import make_server_entry
+from cowslipmill.host.tests.conftest import WAIT_S
 from cowslipmill.standin.backend import StandinBackend
 
 # Time in which all hosts learn of it, less than a leaving server serves on.
@@ -20,12 +22,17 @@
 
 
 async def announce_leaving(fleet: Fleet) -> StandinBackend:
-    """Has a server say that it leaves, to one host at least."""
+    """Has a server say that it leaves, to one host at least.
+
+    The first to hear it may be a load probe or a request.
+    """
     backend = fleet.backends['one']
     backend.says_leaving = True
-    before = len(backend.runs)
+    loop = get_running_loop()
+    deadline = loop.time() + WAIT_S
     number = 0
-    while len(backend.runs) == before:
+    while not any(h.view.announced_leaving for h in fleet.hosts):
+        assert loop.time() < deadline, 'no host heard that the server leaves'
         number += 1
         host = number % len(fleet.hosts)
         await fleet.send_request(f'/read/notice-{number}', host=host)
