Tests of fleets in one event loop don't depend on the machine's speed

Cause: these tests run up to four hosts, four servers, a store and sixteen proxies in one event loop, by the clock of the machine. On a slow or busy machine all of them are late at once: requests that come every 20 ms queue up in the one thread, load probes and offers of other hosts time out, servers are blocked, callers get 503. The verdict depended on the machine.

Evidence, on the unchanged: the two files on two of five cores with six workers, three runs: 3, 2 and 0 of 41 failed, always a_cut_host_takes_no_slot; with log lines kept, `placed` has waits that grow to 500 ms before the first `server blocked`. The whole suite on two cores: 5 failed, all of these two files. On five cores nothing failed in three runs.

Change: the tests of host/ run on an event loop whose clock counts only the time in which there was nothing to do. No bound and no check is changed. runs_once counts the runs of requests that may not run twice: a trace of a failed run (2 runs) showed a hedged read, which is allowed; its own four requests are all of the other kind.

--- a/cowslipmill/host/tests/conftest.py
+++ b/cowslipmill/host/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures: hosts, stand-in servers and a stand-in store in one event loop."""
 
+from asyncio import AbstractEventLoop
 from asyncio import gather
 from asyncio import get_running_loop
 from asyncio import sleep
@@ -7,10 +8,12 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 import pytest_asyncio
 
 from cowslipmill.host.host import Host
 from cowslipmill.host.settings import HostSettings
+from cowslipmill.host.tests.virtualtime import VirtualTimeLoop
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import open_connection
@@ -30,6 +33,13 @@
 PORTS = (7301, 7302, 7303)
 
 
+def pytest_asyncio_loop_factories(
+    config: pytest.Config, item: pytest.Item
+) -> dict[str, Callable[[], AbstractEventLoop]]:
+    """Returns the event loop of all tests of this package."""
+    return {'virtual time': VirtualTimeLoop}
+
+
 def make_test_route(prefix: str, kind: str, **options: Any) -> dict[str, Any]:
     """Returns a route for the Host header that the tests send."""
     return make_route(prefix, kind, host=HOST_HEADER, **options)
@@ -107,6 +117,7 @@
             retry_reserve=64.0,
             leaving_s=2.0,
             first_start=first_start,
+            server_source_ip=callers[0],
         )
         host = Host(
             settings,
