A server that names a pause with 503 gets nothing from the host it told

What callers and servers saw: a server in trouble that turned requests away with 503 and Retry-After was asked again after 30 ms, by requests, load probes and path checks.

Cause: the header was read by no process of this shape; a shed request blocked its server for 30 ms at the coordinator and nowhere else.

Lease requests exclude paused servers, a coordinator that is paused grants none of them. If all servers of a service pause, requests wait if their deadline bears it, else are refused at once with the time until the first pause ends. Refusals of a coordinator count limits and pauses into their Retry-After, too.

--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -3,6 +3,7 @@
 from asyncio import CancelledError
 from asyncio import get_running_loop
 from collections.abc import Callable
+from time import time
 
 from prometheus_client import Counter
 from prometheus_client import Histogram
@@ -23,6 +24,7 @@
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.leaserequest import Grant
+from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.paths.pathchecker import PathChecker
 from cowslipmill.view.server import ServerRecord
 from cowslipmill.view.view import View
@@ -66,6 +68,7 @@
         idle_limits: How long connections may be idle, by service.
         header_codec: Reads and writes HTTP headers of callers and servers.
         pool: Idle connections by server.
+        pauses: Servers that want nothing from this host for a time.
         on_leaving: Called with the name and the start of a server that says
             that it leaves.
     """
@@ -103,6 +106,7 @@
         self.header_codec = header_codec
         self.clock = clock
         self.pool: ConnectionPool = checker.pool
+        self.pauses: ServerPauses = checker.pauses
 
     def max_idle_connections(self, service: str) -> int:
         """Returns how many idle connections to keep to each server.
@@ -130,6 +134,10 @@
             return None
         return known.record
 
+    def is_paused(self, server: ServerRecord) -> bool:
+        """Returns whether a server wants nothing from this host now."""
+        return self.pauses.is_paused(server, self.clock())
+
     async def connect(self, server: ServerRecord) -> ServerConnection:
         """Returns a pooled or new connection to a server.
 
@@ -224,6 +232,9 @@
     def classify(self, server: ServerRecord, response: Response) -> Sent:
         """Returns a server's response and records what it says of itself."""
         response_class = self.header_codec.classify(response)
+        pause_s = self.header_codec.pause_s(response, time())
+        if pause_s is not None:
+            self.pauses.record(server, pause_s, self.clock())
         if response_class not in OTHER_SENDER_CLASSES:
             if self.header_codec.announces_leaving(response):
                 self.on_leaving(server.name, server.started_ms)
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from asyncio import CancelledError
 from asyncio import create_task
 from asyncio import FIRST_COMPLETED
+from asyncio import sleep
 from asyncio import Task
 from asyncio import timeout_at
 from asyncio import wait
@@ -281,6 +282,12 @@
         """
         limits_ignored = 0
         while True:
+            refusal = await self.outwait_pauses(
+                context, may_wait=max_duration_s is None
+            )
+            if refusal is not None:
+                self.request_log.not_placed(context, refusal)
+                return refusal
             grant = await self.lease_manager.acquire(
                 self.requirements(context, max_duration_s)
             )
@@ -310,6 +317,29 @@
                 return Refusal(grant.key, 'suspect', retry_after_s, 0)
             context.attempts.excluded.append(grant.server)
 
+    async def outwait_pauses(
+        self, context: RequestContext, *, may_wait: bool
+    ) -> Refusal | None:
+        """Waits until a server takes requests, if all of them pause.
+
+        Args:
+            context: The request.
+            may_wait: Whether it may wait at all.
+
+        Returns:
+            A refusal if the request may not wait so long, else None.
+        """
+        while True:
+            now = self.clock()
+            until = self.lease_manager.paused_until(
+                context.service, context.attempts.excluded, now
+            )
+            if until <= now:
+                return None
+            if not may_wait or until >= context.deadline_at:
+                return Refusal(('', 0), 'servers pause', until - now, 0)
+            await sleep(until - now)
+
     async def may_send(self, context: RequestContext) -> bool:
         """Returns whether a request may be sent now.
 
@@ -348,7 +378,12 @@
             objective_at,
             context.deadline_at,
             kilobytes=response_kilobytes + len(context.request.body) / 1024,
-            excluded=tuple(context.attempts.excluded),
+            excluded=(
+                *context.attempts.excluded,
+                *self.lease_manager.paused_servers(
+                    context.service, self.clock()
+                ),
+            ),
             max_duration_s=max_duration_s,
         )
 
--- a/cowslipmill/forwarding/headercodec.py
+++ b/cowslipmill/forwarding/headercodec.py
@@ -94,6 +94,17 @@
     def announces_leaving(self, response: Response) -> bool:
         """Returns whether a server says that it wants no new requests."""
 
+    def pause_s(self, response: Response, now_s: float) -> float | None:
+        """Returns how long a server wants nothing from this host.
+
+        Args:
+            response: A response of the server.
+            now_s: The present Unix time in seconds.
+
+        Returns:
+            Seconds, more than 0; None if the response names no such time.
+        """
+
     def caller_response(self, response: Response) -> Response:
         """Returns the response to send to the caller for a server's one."""
 
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -75,7 +75,8 @@
 
     def accepts_requests(self, grant: Grant) -> bool:
         """Returns whether the server of a grant still accepts requests."""
-        return self.direct.find_server(grant) is not None
+        server = self.direct.find_server(grant)
+        return server is not None and not self.direct.is_paused(server)
 
     async def send(self, context: RequestContext, grant: Grant) -> SendResult:
         """Makes one attempt to send a request and releases the lease."""
@@ -153,6 +154,8 @@
         """
         paths = self.direct.paths
         server = attempt.server
+        if self.direct.is_paused(server):
+            return NotSent(server.name, 'the server pauses', paused=True)
         relayed: SendResult | None = None
         if paths.is_lost(server.address):
             self.direct.checker.request_check(server)
@@ -170,8 +173,10 @@
     ) -> SendResult:
         """Sends a request over a connection of this host."""
         server = attempt.server
-        if not self.accepts_requests(attempt.grant):
+        if self.direct.find_server(attempt.grant) is None:
             return NotSent(server.name, 'the server has left', confirmed=True)
+        if self.direct.is_paused(server):
+            return NotSent(server.name, 'the server pauses', paused=True)
         attempt.relayed = False
         attempt.record_send(self.clock())
         try:
@@ -201,6 +206,8 @@
     server at a coordinator on another host.
     """
     if isinstance(result, NotSent):
+        if result.paused:
+            return LeaseResult.UNUSED
         if result.confirmed or not grant.coordinator[0]:
             return LeaseResult.UNREACHABLE
         return LeaseResult.UNUSED
--- a/cowslipmill/forwarding/sendresult.py
+++ b/cowslipmill/forwarding/sendresult.py
@@ -16,11 +16,13 @@
         reason: Why, as written into the log.
         confirmed: Whether this shows that the server is down, and not only
             that this host has no path to it.
+        paused: Whether the server wants nothing from this host for a time.
     """
 
     server: str
     reason: str
     confirmed: bool = False
+    paused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -34,6 +34,7 @@
 from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.prober import Prober
+from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.paths.pathchecker import PathChecker
 from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.relays.relayclient import RelayClient
@@ -163,6 +164,7 @@
             header_codec,
             clock,
             random,
+            ServerPauses(),
         )
         self.prober = Prober(
             self.path_checker.dialer,
@@ -170,6 +172,7 @@
             header_codec,
             clock,
             self.gossip.report_server_leaving,
+            self.path_checker.pauses,
         )
         self.lease_manager = LeaseManager(
             self.view,
@@ -396,8 +399,10 @@
             self.paths.retain(
                 {known.record.address for known in self.view.servers.values()}
             )
+            self.lease_manager.pauses.drop_ended(now)
             for name in self.view.drop_missing(now):
                 self.lease_manager.rate_limits.forget(name)
+                self.lease_manager.pauses.forget(name)
                 LOG.info('server gone', extra={'server': name})
 
     def on_view_events(self, events: list[StoreEvent], source: str) -> None:
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -1,6 +1,7 @@
 """Acquires and releases leases, on this host or from other hosts."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from itertools import count
 from itertools import islice
@@ -29,6 +30,7 @@
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.requirements import Requirements
 from cowslipmill.leasing.scheduler import SlotScheduler
+from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.paths.pathchecker import PathChecker
 from cowslipmill.view.server import ServerRecord
 from cowslipmill.view.view import View
@@ -58,6 +60,7 @@
         rpc: Calls between hosts.
         prober: Probes servers for their load.
         rate_limits: The rate limits that servers name.
+        pauses: Servers that want nothing from this host for a time.
         checker: Checks the paths to servers.
         client: Requests leases from coordinators on other hosts.
         no_path_until: Until when coordinators that reach no server aren't
@@ -82,6 +85,7 @@
         self.checker = checker
         self.no_path_until: dict[tuple[str, str, str], float] = {}
         self.rate_limits: RateLimits = prober.rate_limits
+        self.pauses: ServerPauses = prober.pauses
         self.client = LeaseClient(member_list, rpc, clock)
         self.clock = clock
         self.random = random
@@ -119,6 +123,9 @@
             self.update_servers(coordinator, service, failure_domain)
         if self.rate_limits.known:
             self.apply_rate_limits(coordinator, service, failure_domain)
+        if self.pauses.known:
+            for server in coordinator.scheduler.servers.values():
+                server.pause(self.pauses.ends_at(server.record))
         return coordinator
 
     def apply_rate_limits(
@@ -316,6 +323,38 @@
         )
         return replace(reply, limit=limit) if limit else reply
 
+    def paused_servers(self, service: str, now: float) -> list[str]:
+        """Returns the servers that want nothing from this host now."""
+        if not self.pauses.known:
+            return []
+        return [
+            entry.record.name
+            for entry in self.view.available_servers(service)
+            if self.pauses.is_paused(entry.record, now)
+        ]
+
+    def paused_until(
+        self, service: str, excluded: Collection[str], now: float
+    ) -> float:
+        """Returns when a server of a service takes requests of this host.
+
+        Args:
+            service: The service.
+            excluded: Servers that aren't wanted.
+            now: Monotonic seconds.
+
+        Returns:
+            Monotonic seconds; `now` unless all other servers pause.
+        """
+        if not self.pauses.known:
+            return now
+        servers = (
+            entry.record
+            for entry in self.view.available_servers(service)
+            if entry.record.name not in excluded
+        )
+        return self.pauses.paused_until(servers, now)
+
     def ignores_limit(self, grant: Grant) -> bool:
         """Returns whether a coordinator doesn't know a server's rate limit.
 
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
+from time import time
 
 from prometheus_client import Counter
 
@@ -14,6 +15,7 @@
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.leasing.blocks import log_block
 from cowslipmill.leasing.ratelimits import RateLimits
+from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.leasing.slots import ServerSlots
 from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.view.server import ServerRecord
@@ -41,6 +43,7 @@
         connections: Connections by server address.
         in_progress: Addresses of the servers being probed.
         rate_limits: The rate limits that servers name.
+        pauses: Servers that want nothing for a time, and are not probed.
         on_leaving: Called with the name and the start of a server that says
             that it leaves.
     """
@@ -52,8 +55,10 @@
         header_codec: HeaderCodec,
         clock: Callable[[], float],
         on_leaving: Callable[[str, int], None],
+        pauses: ServerPauses,
     ) -> None:
         """Starts without connections."""
+        self.pauses = pauses
         self.on_leaving = on_leaving
         self.dialer = dialer
         self.paths = paths
@@ -66,12 +71,15 @@
     async def probe(self, server: ServerSlots, path: str) -> None:
         """Probes one server and records its load, or that the probe failed.
 
-        Does nothing while another probe of the server is in progress. A
-        server is blocked if another server responds at its address.
+        Does nothing while another probe of the server is in progress, or
+        while the server pauses. A server is blocked if another server responds
+        at its address.
         """
         address = server.record.address
         if address in self.in_progress:
             return
+        if self.pauses.is_paused(server.record, self.clock()):
+            return
         self.in_progress.add(address)
         request = self.header_codec.health_request(server.record, path)
         sampled_at = self.clock()
@@ -104,6 +112,9 @@
             LOAD_PROBES.labels('other-server').inc()
             server.block(self.clock())
             return
+        pause_s = self.header_codec.pause_s(response, time())
+        if pause_s is not None:
+            self.pauses.record(server.record, pause_s, self.clock())
         LOAD_PROBES.labels('answered').inc()
         server.record_load(load, sampled_at, self.clock())
         if self.header_codec.announces_leaving(response):
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -240,16 +240,19 @@
         )
 
     def token_wait_s(self, request: LeaseRequest, now: float) -> float:
-        """Returns how long rate limits alone keep a request waiting.
+        """Returns how long limits and pauses alone keep a request waiting.
 
         Returns:
-            Seconds; 0 if there is a server without a rate limit that it has
-            not been sent to, or no server at all.
+            Seconds; 0 if there is a server with neither that it has not been
+            sent to, or no server at all.
         """
         waits_s = [
-            0.0
-            if server.rate_bucket is None
-            else server.rate_bucket.wait_s(now)
+            max(
+                server.paused_until - now,
+                0.0
+                if server.rate_bucket is None
+                else server.rate_bucket.wait_s(now),
+            )
             for server in self.servers.values()
             if server.name not in request.requirements.excluded
         ]
@@ -404,7 +407,12 @@
         if self.servers:
             mean_s = self.processing_times.mean_s(request)
             wait_s = self.wait_estimator.wait_s(mean_s, len(self.queue))
-        wait_s = max(MIN_RETRY_AFTER_S, wait_s, self.overload.remaining_s(now))
+        wait_s = max(
+            MIN_RETRY_AFTER_S,
+            wait_s,
+            self.token_wait_s(request, now),
+            self.overload.remaining_s(now),
+        )
         wait_s *= random.uniform(1.0, 1.5)
         return Refusal(request.key, reason, wait_s, len(self.queue))
 
--- a/cowslipmill/leasing/slots.py
+++ b/cowslipmill/leasing/slots.py
@@ -81,6 +81,7 @@
         failure_rate: Moving average of `FAILURE_SCORES` over the results of
             its leases.
         failure_rate_at: When that average was computed.
+        paused_until: Until when it wants nothing from this host.
         rate_bucket: Limits the grants to the rate that the server named;
             None if it named none.
 
@@ -98,6 +99,7 @@
         'load',
         'load_sampled_at',
         'missing',
+        'paused_until',
         'rate_bucket',
         'record',
         'released_since_report',
@@ -115,6 +117,7 @@
         self.released_since_report = 0
         self.cold_until = now + record.warm_up_s
         self.blocked_until = 0.0
+        self.paused_until = float('-inf')
         self.consecutive_blocks = 0
         self.failed_probes = 0
         self.reports_load: bool | None = None
@@ -184,6 +187,11 @@
             self.rate_bucket = RateBucket(now)
         self.rate_bucket.set_rate(per_s, max_tokens, now)
 
+    def pause(self, until: float) -> None:
+        """Keeps the server out of use until a time, in monotonic seconds."""
+        self.paused_until = until
+        self.blocked_until = max(self.blocked_until, until)
+
     def record_load(self, load: Load, sampled_at: float, now: float) -> None:
         """Records a load report.
 
--- a/cowslipmill/paths/pathchecker.py
+++ b/cowslipmill/paths/pathchecker.py
@@ -4,6 +4,7 @@
 from asyncio import Task
 from collections.abc import Callable
 from random import Random
+from time import time
 
 from cowslipmill.forwarding.headercodec import HeaderCodec
 from cowslipmill.http1.pool import ConnectionPool
@@ -11,6 +12,7 @@
 from cowslipmill.http1.serverconnection import Dialer
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.leasing.prober import exchange_with_timeout
+from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.paths.serverpaths import ISOLATION_FAILURES
 from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.view.server import ServerRecord
@@ -31,6 +33,7 @@
         pool: Gets the connections over which a server responded.
         header_codec: Encodes health requests.
         random: Chooses servers to check.
+        pauses: Servers that want nothing for a time, and are not checked.
         checks: Checks in progress.
     """
 
@@ -40,6 +43,7 @@
         'dialer',
         'header_codec',
         'paths',
+        'pauses',
         'pool',
         'random',
         'view',
@@ -54,8 +58,10 @@
         header_codec: HeaderCodec,
         clock: Callable[[], float],
         random: Random,
+        pauses: ServerPauses,
     ) -> None:
         """Starts without checks."""
+        self.pauses = pauses
         self.paths = paths
         self.view = view
         self.dialer = dialer
@@ -67,7 +73,10 @@
 
     def request_check(self, server: ServerRecord) -> None:
         """Starts a check of the path to a server, unless it is too early."""
-        if not self.paths.start_check(server.address, self.clock()):
+        now = self.clock()
+        if self.pauses.is_paused(server, now):
+            return
+        if not self.paths.start_check(server.address, now):
             return
         task = create_task(self.check(server))
         self.checks.add(task)
@@ -101,7 +110,7 @@
                 CONNECT_TIMEOUT_S,
                 self.header_codec.request_id_header,
             )
-            await exchange_with_timeout(connection, request)
+            response = await exchange_with_timeout(connection, request)
         except ExchangeFailed:
             return
         except (ConnectFailed, TimeoutError) as error:
@@ -111,4 +120,7 @@
         self.paths.record_reached(
             server.address, connection.opened_at, self.clock()
         )
+        pause_s = self.header_codec.pause_s(response, time())
+        if pause_s is not None:
+            self.pauses.record(server, pause_s, self.clock())
         self.pool.release(server.address, connection)
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -1,7 +1,9 @@
 """Reads and writes the headers of the platform's callers and servers."""
 
+from email.utils import parsedate_to_datetime
 from logging import getLogger
 from math import inf
+from math import isnan
 from math import nan
 
 from msgspec.structs import replace
@@ -29,9 +31,15 @@
 
 LOG = getLogger(__name__)
 
+# Longest time for which a server's Retry-After is taken.
+MAX_PAUSE_S = 86_400.0
+
 BAD_REQUEST_STATUS = 400
+UNAVAILABLE_STATUS = 503
 # Callers take these as a guarantee that the request was not executed.
-NOT_EXECUTED_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
+NOT_EXECUTED_STATUSES = frozenset(
+    (408, MISDIRECTED_STATUS, 429, UNAVAILABLE_STATUS)
+)
 # Headers between this host and a server that the caller does not get.
 HOST_ONLY_HEADERS = frozenset((SERVER_LOAD, SERVER_NAME))
 # Headers of the caller that this host replaces by its own.
@@ -141,6 +149,31 @@
         """Returns whether a server says that it wants no new requests."""
         return response.header(SERVER_LEAVING).strip() == b'1'
 
+    def pause_s(self, response: Response, now_s: float) -> float | None:
+        """Returns how long a server wants nothing from this host.
+
+        Args:
+            response: A response of the server.
+            now_s: The present Unix time in seconds.
+
+        Returns:
+            Seconds, more than 0; None if the response names no such time.
+        """
+        text = response.header(RETRY_AFTER).decode('latin-1').strip()
+        if response.status != UNAVAILABLE_STATUS or not text:
+            return None
+        pause_s = read_retry_after(text, now_s)
+        if isnan(pause_s):
+            LOG.warning(
+                'header not usable',
+                extra={
+                    'field': RETRY_AFTER.decode(),
+                    'reason': f'neither seconds nor a date: {text[:40]!r}',
+                },
+            )
+            return None
+        return min(pause_s, MAX_PAUSE_S) if pause_s > 0.0 else None
+
     def caller_response(self, response: Response) -> Response:
         """Returns the response to send to the caller for a server's one."""
         headers = [
@@ -193,3 +226,23 @@
         if retry_after_s is not None:
             headers.append((RETRY_AFTER, b'%.3f' % retry_after_s))
         return Response(status, headers, b'')
+
+
+def read_retry_after(text: str, now_s: float) -> float:
+    """Returns the seconds that a Retry-After asks for.
+
+    Args:
+        text: Seconds as a decimal number, or a date.
+        now_s: The present Unix time in seconds.
+
+    Returns:
+        Seconds, which may be negative; NaN if the text is neither.
+    """
+    try:
+        return float(text)
+    except ValueError:
+        pass
+    try:
+        return parsedate_to_datetime(text).timestamp() - now_s
+    except (ValueError, OverflowError):
+        return nan
--- a/cowslipmill/platform/tests/test_headercodec.py
+++ b/cowslipmill/platform/tests/test_headercodec.py
@@ -9,6 +9,7 @@
 from cowslipmill.forwarding.headercodec import ResponseClass
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.platform.headercodec import MAX_PAUSE_S
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.platform.load import read_load
 from cowslipmill.view.tests.conftest import make_record
@@ -101,3 +102,43 @@
     assert_that(
         HEADER_CODEC.decode_health(response, make_record()), Equals(None)
     )
+
+
+# A Sunday of 1994, as HTTP writes dates, and ten seconds before.
+DATE = 'Sun, 06 Nov 1994 08:49:37 GMT'
+BEFORE_DATE_S = 784_111_767.0
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause_s'),
+    [
+        (503, '2', 2.0),
+        (503, ' 0.25 ', 0.25),
+        (503, DATE, 10.0),
+        (503, '9' * 400, MAX_PAUSE_S),
+        (503, '0', None),
+        (503, '-3', None),
+        (503, 'Sun, 06 Nov 1983 08:49:37 GMT', None),
+        (503, 'soon', None),
+        (503, 'nan', None),
+        (503, '', None),
+        (200, '2', None),
+        (429, '2', None),
+    ],
+)
+def test_only_a_readable_time_with_503_is_a_pause(
+    status: int, text: str, pause_s: float | None
+) -> None:
+    """Seconds or a date; one that is past or unreadable asks for nothing."""
+    headers = [*NOT_EXECUTED, (b'retry-after', text.encode())]
+    response = Response(status, headers, b'')
+    found_s = HEADER_CODEC.pause_s(response, BEFORE_DATE_S)
+    assert_that(found_s, Equals(pause_s))
+
+
+@given(st.binary(max_size=40))
+def test_no_retry_after_of_a_server_is_an_error(value: bytes) -> None:
+    """Whatever bytes it holds."""
+    response = Response(503, [(b'retry-after', value)], b'')
+    pause_s = HEADER_CODEC.pause_s(response, BEFORE_DATE_S)
+    assert pause_s is None or 0.0 < pause_s <= MAX_PAUSE_S
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -13,6 +13,7 @@
 OUT_OF_REACH = 'server out of reach'
 LEFT = 'server has left'
 LIMITED = 'rate limit'
+PAUSED = 'server pauses'
 
 
 class AskRelay(Struct, frozen=True, array_like=True, tag='ask-relay'):
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -28,6 +28,7 @@
 from cowslipmill.relays.messages import LEFT
 from cowslipmill.relays.messages import LIMITED
 from cowslipmill.relays.messages import OUT_OF_REACH
+from cowslipmill.relays.messages import PAUSED
 from cowslipmill.relays.messages import RelayFailure
 from cowslipmill.relays.messages import RelayOffer
 from cowslipmill.relays.messages import RelayRequest
@@ -133,6 +134,8 @@
         server = self.direct.find_server(grant)
         if server is None:
             return LEFT
+        if self.direct.is_paused(server):
+            return PAUSED
         if self.direct.paths.is_lost(server.address):
             self.direct.checker.request_check(server)
             return OUT_OF_REACH
@@ -193,6 +196,8 @@
         connection = await self.direct.connect(server)
         if self.direct.find_server(grant) is None:
             return RelayFailure(False, LEFT)
+        if self.direct.is_paused(server):
+            return RelayFailure(False, PAUSED)
         result = await self.direct.exchange(
             outgoing, server, connection, grant.expected_duration_s
         )
--- a/cowslipmill/relays/runningchecks.py
+++ b/cowslipmill/relays/runningchecks.py
@@ -79,10 +79,13 @@
         """Returns whether a server is running, by a new connection.
 
         Returns:
-            None if this host can't tell, since it reaches no server.
+            None if this host can't tell, since it reaches no server or may
+            send nothing to this one.
         """
         if self.prober.paths.isolated:
             return None
+        if self.prober.pauses.is_paused(server, self.clock()):
+            return None
         service = self.view.services.get(server.service)
         path = '/' if service is None else service.health_path
         if not await self.prober.is_running(server, path):
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -98,6 +98,10 @@
         limit_per_s: Requests a second that it says it takes; None for none.
         limits_health: Whether its health answers name the limit, too.
         says_leaving: Whether its answers say that it leaves.
+        pause: Value of Retry-After with which it turns every request away,
+            also those for its health; empty while it takes requests.
+        arrivals: Senders' IP addresses and times of all requests, also those
+            for its health.
         hangs_when_full: Whether it hangs instead of shedding.
         crash_marker: A request whose target holds it crashes the server,
             which starts again after `CRASH_DOWN_S`; empty for none.
@@ -118,6 +122,8 @@
         self.limit_per_s: float | None = None
         self.limits_health = False
         self.says_leaving = False
+        self.pause = ''
+        self.arrivals: list[tuple[str, float]] = []
         self.hangs_when_full = False
         self.crash_marker = ''
         self.crashes_silently = False
@@ -176,8 +182,16 @@
             name.lower(): value.strip()
             for name, _, value in (line.partition(':') for line in lines)
         }
+        sender_ip = writer.get_extra_info('peername')[0]
+        self.arrivals.append((sender_ip, clock()))
         if self.fault is Fault.SILENT:
             await sleep(SILENCE_S)
+        if self.pause:
+            size = int(headers.get('content-length', '0'))
+            await reader.readexactly(size)
+            head = f'x-not-executed: 1\r\nretry-after: {self.pause}\r\n'
+            self.write(writer, 503, head)
+            return True
         if target == '/health':
             self.health_asked += 1
             head = f'x-instance-id: {self.name}\r\n'
