Soak: servers that pause or leave by their word, and what each host heeds

The soak had neither manner of servers, nor a check of them. Servers see the hosts' addresses through the proxies. Checked by host, from what servers saw: at most two requests (probes count) from half a second after it was told to the end of a pause, none of callers later than 2 s after it was told of a leaving. A signal to the host, a cut of it, or a fault of the server or its link in that time excuses it.

--- a/cowslipmill/host/tests/test_serverpauses.py
+++ b/cowslipmill/host/tests/test_serverpauses.py
@@ -72,12 +72,12 @@
     The first one of each host began its pause, as all are turned away.
     """
     told: dict[str, float] = {}
-    for address, arrived_at in backend.arrivals:
-        told.setdefault(address, arrived_at)
+    for arrival in backend.arrivals:
+        told.setdefault(arrival.sender_ip, arrival.at)
     late = Counter(
-        address
-        for address, arrived_at in backend.arrivals
-        if told[address] + GRACE_S < arrived_at < told[address] + PAUSE_S
+        arrival.sender_ip
+        for arrival in backend.arrivals
+        if GRACE_S < arrival.at - told[arrival.sender_ip] < PAUSE_S
     )
     return max(late.values(), default=0)
 
--- a/cowslipmill/soak/ledger.py
+++ b/cowslipmill/soak/ledger.py
@@ -10,8 +10,13 @@
 CRASHER = b'crasher'
 SUCCESS = 200
 REFUSED = 503
-# A leaving server gets nothing later than this after the store took it in.
+# A server that leaves gets nothing from a host later than this after it told
+# the host so.
 LEAVING_BOUND_S = 2.0
+# A host that a server has told to send nothing for a time sends it at most
+# `MAX_IN_PAUSE` requests from `PAUSE_GRACE_S` on to the end of that time.
+PAUSE_GRACE_S = 0.5
+MAX_IN_PAUSE = 2
 # A request that crashes servers reaches at most `MAX_LATE_CRASHES` of them
 # later than `LEARN_S` after the third.
 LEARN_S = 3.0
@@ -50,6 +55,9 @@
         asks: Attempts by id.
         limits: Servers that limit their rate: requests a second and since
             when, in monotonic seconds.
+        excuses: Times at which a host's process or the link to a server is
+            disturbed: the host's IP address or the server's name, from and
+            until, in monotonic seconds.
         broken: Promises that were broken, one line each.
     """
 
@@ -57,8 +65,20 @@
         """Starts empty."""
         self.asks: dict[str, Ask] = {}
         self.limits: dict[str, tuple[float, float]] = {}
+        self.excuses: list[tuple[str, float, float]] = []
         self.broken: list[str] = []
 
+    def excuse(self, name: str, now: float, for_s: float) -> None:
+        """Excuses a host or a server for some seconds from now on."""
+        self.excuses.append((name, now, now + for_s))
+
+    def is_excused(self, names: set[str], since: float, until: float) -> bool:
+        """Returns whether a host or server was disturbed between two times."""
+        return any(
+            name in names and start < until and end > since
+            for name, start, end in self.excuses
+        )
+
     def check(self, backends: list[StandinBackend]) -> list[str]:
         """Returns every promise that was broken."""
         runs: dict[str, list[Run]] = {}
@@ -81,6 +101,8 @@
         for backend in backends:
             if backend.name in self.limits:
                 self.check_limit(backend)
+            self.check_pauses(backend)
+            self.check_leaving(backend)
         return self.broken
 
     def check_crashes(self, runs: list[Run]) -> None:
@@ -108,6 +130,38 @@
                 )
                 return
 
+    def check_pauses(self, backend: StandinBackend) -> None:
+        """Checks what came from hosts that the server had turned away."""
+        for sender_ip, told_at, pause in backend.turned_away:
+            until = told_at + float(pause)
+            if self.is_excused({sender_ip, backend.name}, told_at, until):
+                continue
+            count = sum(
+                told_at + PAUSE_GRACE_S < arrival.at < until
+                for arrival in backend.arrivals
+                if arrival.sender_ip == sender_ip
+            )
+            if count > MAX_IN_PAUSE:
+                self.broken.append(
+                    f'{backend.name}: {count} from {sender_ip} in a pause of '
+                    f'{pause} s'
+                )
+                return
+
+    def check_leaving(self, backend: StandinBackend) -> None:
+        """Checks what came from hosts that knew that the server leaves."""
+        for arrival in backend.arrivals:
+            told_at = backend.told_leaving.get(arrival.sender_ip, inf)
+            if arrival.for_health or arrival.at <= told_at + LEAVING_BOUND_S:
+                continue
+            names = {arrival.sender_ip, backend.name}
+            if not self.is_excused(names, told_at, arrival.at):
+                self.broken.append(
+                    f'{backend.name}: a request of {arrival.sender_ip} '
+                    f'{arrival.at - told_at:.3f} s after it said it leaves'
+                )
+                return
+
     def check_answer(self, ask: Ask) -> None:
         """Checks that an answer is whole and belongs to its request."""
         if not ask.body.endswith(f' {ask.request_id}'.encode()):
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -12,8 +12,10 @@
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.runtime.program import run_program
 from cowslipmill.soak.plan import draw_link_cuts
+from cowslipmill.soak.plan import draw_notices
 from cowslipmill.soak.plan import draw_plan
 from cowslipmill.soak.plan import LinkCut
+from cowslipmill.soak.plan import ServerNotice
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.world import World
 
@@ -76,6 +78,7 @@
                 world,
                 draw_plan(seed, seconds),
                 draw_link_cuts(seed, seconds, hosts),
+                draw_notices(seed, seconds),
             )
             crasher.cancel()
             await sleep(RECOVERY_S)
@@ -93,8 +96,20 @@
     return outcome
 
 
-async def play(world: World, steps: list[Step], cuts: list[LinkCut]) -> None:
-    """Does the faults and cuts of a plan, each at its time."""
+async def play(
+    world: World,
+    steps: list[Step],
+    cuts: list[LinkCut],
+    notices: list[ServerNotice],
+) -> None:
+    """Does the faults and cuts of a plan, each at its time.
+
+    Args:
+        world: Where they are done.
+        steps: The faults.
+        cuts: Hosts that lose their links to servers.
+        notices: What servers ask for.
+    """
 
     async def do_later(step: Step) -> None:
         await sleep(step.at_s)
@@ -104,7 +119,12 @@
         await sleep(cut.at_s)
         await world.cut_links(cut)
 
+    async def notify_later(notice: ServerNotice) -> None:
+        await sleep(notice.at_s)
+        await world.give_notice(notice)
+
     await gather(
+        *(notify_later(notice) for notice in notices),
         *(do_later(step) for step in steps),
         *(cut_later(cut) for cut in cuts),
     )
--- a/cowslipmill/soak/plan.py
+++ b/cowslipmill/soak/plan.py
@@ -69,6 +69,45 @@
     return steps
 
 
+class ServerNotice(Struct, frozen=True):
+    """Servers that ask for nothing, for a time or for good.
+
+    Attributes:
+        at_s: When it begins, from the start of the load.
+        for_s: How long they turn requests away; 0 for servers that leave.
+        servers: Numbers that pick the servers; empty for all of them.
+    """
+
+    at_s: float
+    for_s: float
+    servers: tuple[int, ...]
+
+
+def draw_notices(seed: int, seconds: float) -> list[ServerNotice]:
+    """Returns what servers of a seed ask for: a server's leaving, and pauses.
+
+    They are drawn apart from the other faults and overlap with them.
+
+    Args:
+        seed: The soak's seed.
+        seconds: Length of the time with faults.
+    """
+    random = Random(f'notices {seed}')
+    first = random.randrange(1_000)
+    notices = [ServerNotice(random.uniform(0.0, seconds), 0.0, (first,))]
+    for _ in range(random.randint(1, 3)):
+        first = random.randrange(1_000)
+        servers = random.choice(((first,), (first, first + 1), ()))
+        notices.append(
+            ServerNotice(
+                random.uniform(0.0, seconds * 0.7),
+                random.uniform(1.0, 3.0),
+                servers,
+            )
+        )
+    return notices
+
+
 class LinkCut(Struct, frozen=True):
     """Hosts that lose their links to all servers.
 
--- a/cowslipmill/soak/proxy.py
+++ b/cowslipmill/soak/proxy.py
@@ -97,7 +97,8 @@
             reset(writer)
             return
         try:
-            there = await open_connection(*self.target)
+            # The target sees the address that the connection came from.
+            there = await open_connection(*self.target, local_addr=(source, 0))
         except OSError:
             reset(writer)
             return
--- a/cowslipmill/soak/tests/test_ledger.py
+++ b/cowslipmill/soak/tests/test_ledger.py
@@ -9,6 +9,7 @@
 from cowslipmill.soak.ledger import CRASHER
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.plan import draw_plan
+from cowslipmill.standin.backend import Arrival
 from cowslipmill.standin.backend import Run
 from cowslipmill.standin.backend import StandinBackend
 
@@ -86,6 +87,45 @@
     assert_that(ledger.check([backend]), Equals([]))
 
 
+def make_pause(*arrived_at: float) -> StandinBackend:
+    """Returns a server that told a host at 1.0 to send nothing for 2 s."""
+    backend = StandinBackend('one')
+    backend.turned_away.append(('10.0.0.1', 1.0, '2.0'))
+    for at in arrived_at:
+        backend.arrivals.append(Arrival('10.0.0.1', at, for_health=True))
+    return backend
+
+
+def test_a_host_that_does_not_heed_a_pause_is_told() -> None:
+    """Two requests are allowed, and any before and after it."""
+    allowed = (1.0, 1.2, 1.49, 1.6, 2.9, 3.1, 3.2)
+    assert_that(make_ledger().check([make_pause(*allowed)]), Equals([]))
+    backend = make_pause(*allowed, 2.0)
+    broken = make_ledger().check([backend])
+    assert_that(broken, Equals(['one: 3 from 10.0.0.1 in a pause of 2.0 s']))
+    ledger = make_ledger()
+    ledger.excuse('10.0.0.1', 2.5, 0.1)
+    assert_that(ledger.check([backend]), Equals([]))
+
+
+def test_a_host_that_does_not_heed_a_word_of_leaving_is_told() -> None:
+    """Questions for its health are no requests of callers."""
+    backend = StandinBackend('one')
+    backend.told_leaving['10.0.0.1'] = 1.0
+    backend.arrivals += [
+        Arrival('10.0.0.1', 2.9, for_health=False),
+        Arrival('10.0.0.1', 3.5, for_health=True),
+        Arrival('10.0.0.2', 3.5, for_health=False),
+    ]
+    assert_that(make_ledger().check([backend]), Equals([]))
+    backend.arrivals.append(Arrival('10.0.0.1', 3.5, for_health=False))
+    broken = make_ledger().check([backend])
+    assert_that(
+        broken,
+        Equals(['one: a request of 10.0.0.1 2.500 s after it said it leaves']),
+    )
+
+
 def test_the_served_share_counts_the_recent_attempts_only() -> None:
     late = Ask('q3', True, 5.0, 504)
     ledger = make_ledger(answered('q1'), late, Ask('q2', True, 6.0, 200))
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -34,6 +34,7 @@
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.plan import Fault
 from cowslipmill.soak.plan import LinkCut
+from cowslipmill.soak.plan import ServerNotice
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.proxy import Proxy
 from cowslipmill.standin import backend as standin
@@ -48,6 +49,10 @@
 PATIENCE_MS = 1_500
 TIMEOUT_MS = 1_000
 RESTART_PAUSE_S = 0.3
+# Time in which what was disturbed is as before.
+SETTLE_S = 0.5
+# Time from a server's word that it leaves to its entry that says so.
+ENTRY_DELAY_S = 2.5
 STOP_S = 4.0
 # Ports of a host: its listeners, then the proxies before it.
 PORTS = (7101, 7102, 7103, 7104, 7105)
@@ -252,6 +257,8 @@
             self.hosts[number].settings.server_source_ip
             for number in cut.hosts
         ]
+        for source in sources:
+            self.excuse(source, cut.for_s)
         proxies = list(self.links.values())
         for proxy in proxies:
             for source in sources:
@@ -261,11 +268,34 @@
             for source in sources:
                 proxy.mend_source(source)
 
+    def excuse(self, name: str, for_s: float) -> None:
+        """Notes that a host or server is disturbed for some seconds."""
+        now = get_running_loop().time()
+        self.ledger.excuse(name, now, for_s + SETTLE_S)
+
+    async def give_notice(self, notice: ServerNotice) -> None:
+        """Has servers turn requests away for a time, or one say it leaves."""
+        names = [name for name in self.backends if name not in self.left]
+        if notice.servers:
+            names = [names[n % len(names)] for n in notice.servers]
+        if not notice.for_s:
+            await self.drain_server(names[0], by_word=True)
+            return
+        ends_at = get_running_loop().time() + notice.for_s
+        while (remaining_s := ends_at - get_running_loop().time()) > 0.0:
+            for name in names:
+                self.backends[name].pause = f'{remaining_s:.2f}'
+            await sleep(min(0.1, remaining_s))
+        for name in names:
+            self.backends[name].pause = ''
+
     async def do_to_host(self, step: Step, host: HostProcess) -> None:
         """Signals a host's process."""
         if not self.launcher.is_running(host.name):
             return
+        source = host.settings.server_source_ip
         if step.fault is Fault.PAUSE_HOST:
+            self.excuse(source, step.for_s)
             self.launcher.send_signal(host.name, SIGSTOP)
             await sleep(step.for_s)
             if self.launcher.is_running(host.name):
@@ -276,6 +306,8 @@
             Fault.STOP_HOST: SIGTERM,
             Fault.RELOAD_HOST: SIGHUP,
         }
+        if step.fault is not Fault.RELOAD_HOST:
+            self.excuse(source, STOP_S)
         host.stopping = host.stopping or step.fault is Fault.STOP_HOST
         self.launcher.send_signal(host.name, numbers[step.fault])
 
@@ -300,6 +332,8 @@
     async def do_to_server(self, step: Step, name: str) -> None:
         """Disturbs a server."""
         backend = self.backends[name]
+        if step.fault not in (Fault.SLOW_SERVER, Fault.DRAIN_SERVER):
+            self.excuse(name, step.for_s)
         if step.fault is Fault.SLOW_SERVER:
             backend.slowdown = 5.0
             await sleep(step.for_s)
@@ -319,12 +353,20 @@
         else:
             await self.do_to_link(step, self.links[name])
 
-    async def drain_server(self, name: str) -> None:
-        """Has a server leave and another one come."""
+    async def drain_server(self, name: str, *, by_word: bool = False) -> None:
+        """Has a server leave and another one come.
+
+        Args:
+            name: The server's name.
+            by_word: Whether its answers say so long before its entry does.
+        """
         if len(self.backends) - len(self.left) <= len(DOMAINS):
             return
         self.left.add(name)
         await self.add_server()
+        if by_word:
+            self.backends[name].says_leaving = True
+            await sleep(ENTRY_DELAY_S)
         self.publish(name, 'draining')
 
     async def do_to_store(self, step: Step) -> None:
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -12,6 +12,7 @@
 from socket import SO_LINGER
 from socket import SOL_SOCKET
 from struct import pack
+from typing import NamedTuple
 
 SILENCE_S = 30.0
 LATE_S = 0.05
@@ -86,6 +87,20 @@
         self.whole = False
 
 
+class Arrival(NamedTuple):
+    """One request that has reached the server.
+
+    Attributes:
+        sender_ip: IP address that it came from.
+        at: When, in monotonic seconds.
+        for_health: Whether it asks for the server's health.
+    """
+
+    sender_ip: str
+    at: float
+    for_health: bool
+
+
 class StandinBackend:
     """Works on requests within its slots.
 
@@ -100,8 +115,11 @@
         says_leaving: Whether its answers say that it leaves.
         pause: Value of Retry-After with which it turns every request away,
             also those for its health; empty while it takes requests.
-        arrivals: Senders' IP addresses and times of all requests, also those
-            for its health.
+        arrivals: All requests, also those for its health.
+        turned_away: Answers with `pause`: the sender's IP address, when, and
+            the pause.
+        told_leaving: When it first told a sender that it leaves, by IP
+            address.
         hangs_when_full: Whether it hangs instead of shedding.
         crash_marker: A request whose target holds it crashes the server,
             which starts again after `CRASH_DOWN_S`; empty for none.
@@ -123,7 +141,9 @@
         self.limits_health = False
         self.says_leaving = False
         self.pause = ''
-        self.arrivals: list[tuple[str, float]] = []
+        self.arrivals: list[Arrival] = []
+        self.turned_away: list[tuple[str, float, str]] = []
+        self.told_leaving: dict[str, float] = {}
         self.hangs_when_full = False
         self.crash_marker = ''
         self.crashes_silently = False
@@ -183,10 +203,14 @@
             for name, _, value in (line.partition(':') for line in lines)
         }
         sender_ip = writer.get_extra_info('peername')[0]
-        self.arrivals.append((sender_ip, clock()))
+        arrival = Arrival(sender_ip, clock(), target == '/health')
+        self.arrivals.append(arrival)
         if self.fault is Fault.SILENT:
             await sleep(SILENCE_S)
+        if self.says_leaving:
+            self.told_leaving.setdefault(sender_ip, arrival.at)
         if self.pause:
+            self.turned_away.append((sender_ip, arrival.at, self.pause))
             size = int(headers.get('content-length', '0'))
             await reader.readexactly(size)
             head = f'x-not-executed: 1\r\nretry-after: {self.pause}\r\n'
