Tests of servers that send bytes without end, over a whole host

A flood or a trickle of a byte each 10 ms, in a head or a body, for requests and for questions of health.

--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -19,6 +19,7 @@
 SHED_LATE_S = 0.3
 FORGOTTEN_S = 0.2
 CRASH_DOWN_S = 1.0
+TRICKLE_S = 0.01
 
 
 class Fault(Enum):
@@ -87,6 +88,21 @@
         self.whole = False
 
 
+class Stream(Enum):
+    """Bytes without end that a server sends in place of an answer.
+
+    The value is how it starts and what it repeats.
+    """
+
+    HEAD = (b'HTTP/1.1 200 OK\r\nx-long: ', b'x' * 65_536)
+    BODY = (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+        b'10000\r\n' + b'x' * 65_536 + b'\r\n',
+    )
+    TRICKLING_HEAD = (b'HTTP/1.1 200 OK\r\nx-long: ', b'x')
+    TRICKLING_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'x')
+
+
 class Arrival(NamedTuple):
     """One request that has reached the server.
 
@@ -115,6 +131,10 @@
         says_leaving: Whether its answers say that it leaves.
         pause: Value of Retry-After with which it turns every request away,
             also those for its health; empty while it takes requests.
+        stream: What it sends without end after its work, until the other side
+            closes; None if it answers.
+        streams_health: Whether it does so also if asked for its health.
+        longest_stream: Most bytes that it sent so.
         arrivals: All requests, also those for its health.
         turned_away: Answers with `pause`: the sender's IP address, when, and
             the pause.
@@ -141,6 +161,9 @@
         self.limits_health = False
         self.says_leaving = False
         self.pause = ''
+        self.stream: Stream | None = None
+        self.streams_health = False
+        self.longest_stream = 0
         self.arrivals: list[Arrival] = []
         self.turned_away: list[tuple[str, float, str]] = []
         self.told_leaving: dict[str, float] = {}
@@ -218,6 +241,8 @@
             return True
         if target == '/health':
             self.health_asked += 1
+            if self.stream is not None and self.streams_health:
+                return await self.send_stream(writer, self.stream)
             head = f'x-instance-id: {self.name}\r\n'
             if self.limits_health:
                 head += self.limit_header()
@@ -259,6 +284,8 @@
         finally:
             self.running -= 1
         run.whole = True
+        if self.stream is not None:
+            return await self.send_stream(writer, self.stream)
         return await self.answer(writer, run)
 
     async def crash(self, writer: StreamWriter) -> bool:
@@ -335,6 +362,18 @@
             loop.call_later(LATE_S, self.write, writer, 200, head, b'extra')
         return True
 
+    async def send_stream(self, writer: StreamWriter, stream: Stream) -> bool:
+        """Sends bytes until the other side closes."""
+        start, repeated = stream.value
+        writer.write(start)
+        sent = len(start)
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+            sent += len(repeated)
+            self.longest_stream = max(self.longest_stream, sent)
+            await sleep(TRICKLE_S if len(repeated) == 1 else 0.0)
+
     async def answer_early(
         self,
         reader: StreamReader,
