A store that comes back from an older copy takes no host back with it

What callers would see: after the store came back from a copy some seconds old (Store-Era), hosts compared its revisions, which it gives out again, with those that they knew. A host that read only the copy could use servers that had left.

Cause: the store's number alone ordered what hosts know.

Change: a revision holds the era, from the header of each answer, above the number; the platform's code makes it and takes the number out again for a watch. All comparisons in hosts and messages stay as they are, and what a later era says is newer. A gap between eras reads as changes that are missing: one full read.

A property test of two hosts, eras, copies and incarnations found two faults in the first form of this change, both mended: at equal revisions an earlier incarnation or one that had left counted.

--- a/cowslipmill/platform/headers.py
+++ b/cowslipmill/platform/headers.py
@@ -11,6 +11,7 @@
 # Requests a second that the server accepts from all hosts together.
 SERVER_LIMIT = b'server-limit'
 # `1` if the server stops soon and wants no new requests.
+STORE_ERA = b'store-era'
 SERVER_LEAVING = b'server-leaving'
 # Present if the server did not execute the request.
 NOT_EXECUTED = b'x-not-executed'
--- a/cowslipmill/platform/storeapi.py
+++ b/cowslipmill/platform/storeapi.py
@@ -13,6 +13,7 @@
 from cowslipmill.platform.fields import read_object
 from cowslipmill.platform.fields import read_objects
 from cowslipmill.platform.fields import read_string
+from cowslipmill.platform.headers import STORE_ERA
 from cowslipmill.platform.serverentry import decode_server
 from cowslipmill.view.events import ConfigurationUpdated
 from cowslipmill.view.events import EntryChanges
@@ -23,12 +24,15 @@
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreEvent
 from cowslipmill.view.events import StoreUnavailable
+from cowslipmill.view.revision import make_revision
+from cowslipmill.view.revision import number_of
 
 RANGE_PATH = '/api/kv-range'
 WATCH_PATH = '/api/kv-watch'
 CONFIGURATION_KEY = 'op/config'
 SERVER_PREFIX = 'servers/'
 GONE_STATUS = 410
+MAX_ERA = 2**18
 
 
 class PlatformStoreApi:
@@ -67,7 +71,8 @@
             wait_s: How long the store may wait for a change, in seconds.
         """
         wait_ms = int(wait_s * 1000)
-        target = f'{WATCH_PATH}?Prefix=&after={revision}&WaitMs={wait_ms}'
+        number = number_of(revision)
+        target = f'{WATCH_PATH}?Prefix=&after={number}&WaitMs={wait_ms}'
         return self.build_request(target)
 
     def build_request(self, target: str) -> Request:
@@ -81,9 +86,10 @@
         if isinstance(fields, StoreUnavailable):
             return fields
         try:
+            era = read_era(response)
             items = read_objects(fields, 'items')
-            revision = read_integer(fields, 'CurrentRev')
-            events, invalid = decode_entries(items)
+            revision = read_revision(fields, 'CurrentRev', era)
+            events, invalid = decode_entries(items, era)
             more = fields.get('Truncated') is True and bool(items)
             next_key = read_string(items[-1], 'Key') if more else ''
         except InvalidField as error:
@@ -105,9 +111,10 @@
         if isinstance(fields, StoreUnavailable):
             return fields
         try:
-            revision = read_integer(fields, 'CurrentRev')
+            era = read_era(response)
+            revision = read_revision(fields, 'CurrentRev', era)
             items = read_objects(fields, 'events')
-            events, invalid = decode_entries(items)
+            events, invalid = decode_entries(items, era)
         except InvalidField as error:
             return StoreUnavailable(f'unusable changes: {error}')
         return EntryChanges(revision, events, invalid, len(items))
@@ -123,19 +130,49 @@
         return StoreUnavailable(str(error))
 
 
+def read_era(response: Response) -> int:
+    """Returns how often the store came back from an older copy.
+
+    Raises:
+        InvalidField: If the header is no number.
+    """
+    text = response.header(STORE_ERA).strip()
+    if not text:
+        return 0
+    if not text.isdigit() or int(text) > MAX_ERA:
+        raise InvalidField(STORE_ERA.decode(), f'not an era: {text[:40]!r}')
+    return int(text)
+
+
+def read_revision(fields: JsonObject, name: str, era: int) -> int:
+    """Returns the revision in a field.
+
+    Raises:
+        InvalidField: If the field is missing or no revision.
+    """
+    try:
+        return make_revision(era, read_integer(fields, name))
+    except ValueError as error:
+        raise InvalidField(name, str(error)) from error
+
+
 def decode_entries(
-    items: list[JsonObject],
+    items: list[JsonObject], era: int
 ) -> tuple[tuple[StoreEvent, ...], tuple[InvalidEntry, ...]]:
     """Returns the events of the valid entries, and the invalid entries.
 
     Entries that a host does not use are in neither.
+
+    Args:
+        items: The entries.
+        era: The era of the store that holds them.
     """
     events: list[StoreEvent] = []
     invalid: list[InvalidEntry] = []
     for item in items:
         key = str(item.get('Key', ''))
         try:
-            event = decode_entry(key, item)
+            event = decode_entry(key, item, era)
         except InvalidField as error:
             invalid.append(InvalidEntry(key, error.field, error.reason))
             continue
@@ -144,13 +181,13 @@
     return tuple(events), tuple(invalid)
 
 
-def decode_entry(key: str, item: JsonObject) -> StoreEvent | None:
+def decode_entry(key: str, item: JsonObject, era: int) -> StoreEvent | None:
     """Returns the event of an entry; None if a host does not use the entry.
 
     Raises:
         InvalidField: If a field is missing or invalid.
     """
-    revision = read_integer(item, 'Revision')
+    revision = read_revision(item, 'Revision', era)
     removed = item.get('Removed') is True
     if key == CONFIGURATION_KEY and not removed:
         return ConfigurationUpdated(decode_configuration(decode_value(item)))
--- a/cowslipmill/standin/store.py
+++ b/cowslipmill/standin/store.py
@@ -8,6 +8,7 @@
 from base64 import b64encode
 from json import dumps
 from typing import Any
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 from cowslipmill.http1.callerconnection import CallerConnection
@@ -23,6 +24,18 @@
 Item = dict[str, Any]
 
 
+class Copy(NamedTuple):
+    """What a store held at one moment.
+
+    Attributes:
+        items: Present items by key.
+        revision: The last change.
+    """
+
+    items: dict[str, Item]
+    revision: int
+
+
 class StandinStore:
     """Holds items with revisions and answers the store's read calls.
 
@@ -30,6 +43,7 @@
         items: Present items by key.
         history: Every change since `compacted`, in its order.
         revision: The last change.
+        era: Number of times that it came back from an older copy.
         compacted: Changes up to this revision are forgotten.
         calls: Calls received, by path.
         page_size: Items of one page.
@@ -45,6 +59,7 @@
         self.items: dict[str, Item] = {}
         self.history: list[Item] = []
         self.revision = 1
+        self.era = 0
         self.compacted = 0
         self.calls: dict[str, int] = {}
         self.page_size = 500
@@ -106,9 +121,28 @@
         self.compacted = self.revision
         self.history.clear()
 
+    def copy(self) -> Copy:
+        """Returns a copy of what it holds now."""
+        return Copy(dict(self.items), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy; what was written since is lost."""
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.era += 1
+        self.compact()
+        self.changed.set()
+        self.changed = Event()
+
     async def handle(
         self, request: Request, connection: CallerConnection
-    ) -> Response | None:
+    ) -> Response:
+        """Answers one call and names its era in the answer."""
+        response = await self.respond(request)
+        response.headers.append((b'store-era', b'%d' % self.era))
+        return response
+
+    async def respond(self, request: Request) -> Response:
         """Answers one call, or fails as it is told to."""
         path, _, query = request.target.decode().partition('?')
         self.calls[path] = self.calls.get(path, 0) + 1
@@ -149,7 +183,7 @@
     async def watch(self, words: dict[str, str]) -> Response:
         """Answers with what has changed, once something has."""
         after = int(words['after'])
-        if after < self.compacted:
+        if not self.compacted <= after <= self.revision:
             return Response(410, [], b'')
         events = self.events_after(after, words['Prefix'])
         if not events and not self.skip_events:
--- a/cowslipmill/view/tests/test_view.py
+++ b/cowslipmill/view/tests/test_view.py
@@ -6,11 +6,14 @@
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 
 from cowslipmill.view.events import ConfigurationUpdated
 from cowslipmill.view.events import ServerRemoved
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreEvent
+from cowslipmill.view.revision import make_revision
+from cowslipmill.view.revision import number_of
 from cowslipmill.view.tests.conftest import make_configuration
 from cowslipmill.view.tests.conftest import make_record
 from cowslipmill.view.view import View
@@ -210,3 +213,116 @@
     snapshot = view.snapshot(0.0, since=197, version=3)
     assert_that(len(snapshot.servers), Equals(2))
     assert_that(snapshot.configuration, Equals(None))
+
+
+def test_an_older_copy_brings_no_server_back_that_has_left(
+    view: View,
+) -> None:
+    """Whether its entry was removed or still says that it leaves."""
+    leaving = make_record(1, leaving=True)
+    gone = make_record(2, leaving=True)
+    view.apply_events([ServerUpdated(leaving, 8), ServerUpdated(gone, 9)], 0.0)
+    view.apply_events([ServerRemoved(gone.name, 10)], 0.0)
+    copied = [
+        ServerUpdated(make_record(number), make_revision(1, number))
+        for number in (1, 2)
+    ]
+    view.apply_events(copied, 1.0)
+    assert_that(available_names(view), Equals([]))
+    started_anew = make_record(2, started_ms=2)
+    view.apply_events([ServerUpdated(started_anew, make_revision(1, 7))], 1.0)
+    assert_that(available_names(view), Equals([started_anew.name]))
+
+
+def test_an_older_copy_brings_no_earlier_incarnation_back(view: View) -> None:
+    """Its successor writes its entry again soon."""
+    view.apply_events([ServerUpdated(make_record(started_ms=2), 8)], 0.0)
+    view.apply_events([ServerRemoved('server-1', 9)], 0.0)
+    copied = ServerUpdated(make_record(started_ms=1), make_revision(1, 3))
+    view.apply_events([copied], 0.5)
+    assert_that(view.servers['server-1'].record.started_ms, Equals(2))
+
+
+class StoreHistory:
+    """Entries of two servers in a store that comes back from older copies.
+
+    Attributes:
+        entries: Present entries by server name.
+        events: All events so far, in their order.
+        era: The store's era.
+        number: The last number that it gave out.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.entries: dict[str, ServerUpdated] = {}
+        self.events: list[StoreEvent] = []
+        self.era = 0
+        self.number = 0
+
+    def write(self, number: int, started_ms: int, *, leaving: bool) -> None:
+        """Writes a server's entry; what has left doesn't say otherwise."""
+        record = make_record(number, started_ms=started_ms, leaving=leaving)
+        self.number += 1
+        revision = make_revision(self.era, self.number)
+        self.entries[record.name] = ServerUpdated(record, revision)
+        self.events.append(self.entries[record.name])
+
+    def remove(self, name: str) -> None:
+        """Removes a server's entry."""
+        self.number += 1
+        self.entries.pop(name, None)
+        revision = make_revision(self.era, self.number)
+        self.events.append(ServerRemoved(name, revision))
+
+    def restore(self, entries: dict[str, ServerUpdated], number: int) -> None:
+        """Comes back with what it held before; everything is read anew."""
+        self.era += 1
+        self.number = number
+        self.entries = {
+            name: ServerUpdated(
+                entry.record,
+                make_revision(self.era, number_of(entry.revision)),
+            )
+            for name, entry in entries.items()
+        }
+        self.events += self.entries.values()
+
+
+@given(st.data())
+def test_hosts_agree_on_an_older_copy_after_they_have_talked(
+    data: st.DataObject,
+) -> None:
+    """One read everything, the other a part, twice or in another order."""
+    history = StoreHistory()
+    copies: list[tuple[dict[str, ServerUpdated], int]] = [({}, 0)]
+    latest = {1: 0, 2: 0}
+    left = {1: -1, 2: -1}
+    for _ in range(data.draw(st.integers(1, 12))):
+        number = data.draw(st.integers(1, 2))
+        latest[number] += data.draw(st.integers(0, 1))
+        started_ms = latest[number]
+        match data.draw(st.sampled_from(('ready', 'leave', 'copy', 'back'))):
+            case 'ready' if started_ms > left[number]:
+                history.write(number, started_ms, leaving=False)
+            case 'leave':
+                left[number] = started_ms
+                history.write(number, started_ms, leaving=True)
+                if data.draw(st.booleans()):
+                    history.remove(f'server-{number}')
+            case 'copy':
+                copies.append((dict(history.entries), history.number))
+            case 'back':
+                history.restore(*data.draw(st.sampled_from(copies)))
+    reader, other = View(), View()
+    reader.apply_events(history.events, 0.0)
+    if history.events:
+        part = st.lists(st.sampled_from(history.events), max_size=9)
+        other.apply_events(data.draw(part), 0.0)
+    for _ in range(2):
+        other.merge(reader.snapshot(0.0), 0.0)
+        reader.merge(other.snapshot(0.0), 0.0)
+    assert_that(available_names(other), Equals(available_names(reader)))
+    for known in reader.available_servers('registry'):
+        number = int(known.record.name[-1])
+        assert_that(known.record.started_ms, GreaterThan(left[number]))
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -1,7 +1,8 @@
 """A host's view of the store: the newest configuration and the servers.
 
 Versions and revisions only increase, so events from the store and from other
-hosts lead to the same view in whatever order they are applied.
+hosts lead to the same view in whatever order they are applied. A store that
+comes back from an older copy holds servers that have left since; they stay so.
 """
 
 from collections.abc import Iterable
@@ -25,6 +26,7 @@
 from cowslipmill.view.packed import pack
 from cowslipmill.view.packed import PackedConfiguration
 from cowslipmill.view.packed import unpack
+from cowslipmill.view.revision import era_of
 from cowslipmill.view.server import KnownServer
 from cowslipmill.view.server import ServerRecord
 
@@ -35,6 +37,9 @@
 DEFAULT_LEAVING_S = 2.0
 # Maximum number of removed servers whose revisions are kept.
 MAX_REMOVED_SERVERS = 4_096
+# Maximum number of servers that have left whose starts are kept, for a copy of
+# the store that is some seconds old.
+MAX_DEPARTED_SERVERS = 512
 
 
 class Snapshot(Struct, frozen=True, array_like=True, tag='snapshot'):
@@ -47,6 +52,8 @@
         configuration: The configuration; None if the other host has it.
         servers: Server records with the revisions of their entries.
         removed: Names of removed servers with the revisions of the removals.
+        departed: Names and starts, in Unix milliseconds, of servers that had
+            said that they leave and are gone.
     """
 
     revision: int
@@ -54,6 +61,7 @@
     configuration: PackedConfiguration | None
     servers: tuple[tuple[ServerRecord, int], ...]
     removed: tuple[tuple[str, int], ...]
+    departed: tuple[tuple[str, int], ...] = ()
 
 
 class View:
@@ -63,6 +71,8 @@
         leaving_s: Seconds for which a leaving server still serves.
         announced_leaving: Starts, in Unix milliseconds, of the servers that
             said themselves that they leave, by name.
+        departed: Starts, in Unix milliseconds, of the servers that had said
+            that they leave and whose entries were removed, by name.
         configuration: The highest version seen; None if none was.
         previous_configuration: The version that was in force before it.
         services: The configuration's services by name.
@@ -84,6 +94,7 @@
         """Starts with an empty view."""
         self.leaving_s = leaving_s
         self.announced_leaving: dict[str, int] = {}
+        self.departed: dict[str, int] = {}
         self.configuration: Configuration | None = None
         self.previous_configuration: Configuration | None = None
         self.services: dict[str, Service] = {}
@@ -159,23 +170,33 @@
         The record of an earlier incarnation is ignored: its last heartbeat
         may reach the store after the first one of its successor, which keeps
         sending its own. A missing server's entry is applied whatever its
-        incarnation.
+        incarnation, unless it is of an older copy of the store, which can't
+        bring a server back that has left.
         """
         record = event.record
         if self.removed_revisions.get(record.name, 0) >= event.revision:
             return False
+        if record.started_ms <= self.departed.get(record.name, -1):
+            return False
         if self.announced_leaving.get(record.name) == record.started_ms:
             record = replace(record, leaving=True)
         known = self.servers.get(record.name)
         if known is None:
             self.servers[record.name] = KnownServer(record, event.revision)
             return True
-        if event.revision <= known.revision:
+        if event.revision == known.revision:
+            return self.apply_known_entry(known, record)
+        if event.revision < known.revision:
             return False
+        new_era = era_of(event.revision) > era_of(known.revision)
         known.revision = event.revision
         missing = known.missing_since is not None
-        if not missing and record.started_ms < known.record.started_ms:
+        started_before = record.started_ms < known.record.started_ms
+        if started_before and (new_era or not missing):
             return False
+        if new_era and record.started_ms == known.record.started_ms:
+            leaving = record.leaving or known.record.leaving
+            record = replace(record, leaving=leaving)
         same = replace(known.record, warm_up_s=record.warm_up_s) == record
         changed = missing or not same
         known.missing_since = None
@@ -183,6 +204,22 @@
             known.record = record
         return changed
 
+    def apply_known_entry(
+        self, known: KnownServer, record: ServerRecord
+    ) -> bool:
+        """Applies what another host makes of the entry that is known here.
+
+        It may have learned in an earlier era that the server leaves, or has
+        started anew.
+        """
+        if record.started_ms < known.record.started_ms:
+            return False
+        if record.started_ms == known.record.started_ms:
+            if known.record.leaving or not record.leaving:
+                return False
+        known.record = record
+        return True
+
     def record_leaving(self, name: str, started_ms: int) -> list[StoreEvent]:
         """Records that a server itself said that it leaves.
 
@@ -217,12 +254,28 @@
             return False
         if known.record.leaving:
             del self.servers[event.name]
+            self.record_departure(event.name, known.record.started_ms)
             return True
         if known.missing_since is not None:
             return False
         known.missing_since = now
         return True
 
+    def record_departure(self, name: str, started_ms: int) -> None:
+        """Keeps the start of a server that has left as it had said.
+
+        Beyond `MAX_DEPARTED_SERVERS` the one recorded longest ago is
+        forgotten.
+
+        Args:
+            name: The server's name.
+            started_ms: Unix milliseconds of its start.
+        """
+        previous = self.departed.pop(name, -1)
+        self.departed[name] = max(previous, started_ms)
+        if len(self.departed) > MAX_DEPARTED_SERVERS:
+            del self.departed[next(iter(self.departed))]
+
     def record_removal(self, name: str, revision: int) -> None:
         """Keeps the revision of a removal, so that older entries are ignored.
 
@@ -322,6 +375,7 @@
                 for name, revision in self.removed_revisions.items()
                 if revision > since
             ),
+            departed=tuple(self.departed.items()),
         )
 
     def packed_configuration(self) -> PackedConfiguration | None:
@@ -396,6 +450,12 @@
             The events that changed the view.
         """
         events: list[StoreEvent] = []
+        for name, started_ms in snapshot.departed:
+            self.record_departure(name, started_ms)
+            known = self.servers.get(name)
+            if known is not None and known.record.started_ms <= started_ms:
+                known.record = replace(known.record, leaving=True)
+                events.append(ServerRemoved(name, known.revision))
         if snapshot.configuration is not None:
             events += self.events_of_packed(snapshot.configuration)
         events += [ServerUpdated(*entry) for entry in snapshot.servers]
