Soak: the store comes back from older copies

Up to two times in a soak, drawn apart from the other faults, the store goes back by 0.2 to 4 s and counts an era; configuration and entries are written again within a second.

--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -14,7 +14,9 @@
 from cowslipmill.soak.plan import draw_link_cuts
 from cowslipmill.soak.plan import draw_notices
 from cowslipmill.soak.plan import draw_plan
+from cowslipmill.soak.plan import draw_restores
 from cowslipmill.soak.plan import LinkCut
+from cowslipmill.soak.plan import Restore
 from cowslipmill.soak.plan import ServerNotice
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.world import World
@@ -79,6 +81,7 @@
                 draw_plan(seed, seconds),
                 draw_link_cuts(seed, seconds, hosts),
                 draw_notices(seed, seconds),
+                draw_restores(seed, seconds),
             )
             crasher.cancel()
             await sleep(RECOVERY_S)
@@ -101,6 +104,7 @@
     steps: list[Step],
     cuts: list[LinkCut],
     notices: list[ServerNotice],
+    restores: list[Restore],
 ) -> None:
     """Does the faults and cuts of a plan, each at its time.
 
@@ -109,6 +113,7 @@
         steps: The faults.
         cuts: Hosts that lose their links to servers.
         notices: What servers ask for.
+        restores: When the store comes back from older copies.
     """
 
     async def do_later(step: Step) -> None:
@@ -125,6 +130,7 @@
 
     await gather(
         *(notify_later(notice) for notice in notices),
+        *(world.restore_store(restore) for restore in restores),
         *(do_later(step) for step in steps),
         *(cut_later(cut) for cut in cuts),
     )
--- a/cowslipmill/soak/plan.py
+++ b/cowslipmill/soak/plan.py
@@ -108,6 +108,34 @@
     return notices
 
 
+class Restore(Struct, frozen=True):
+    """The store comes back from an older copy.
+
+    Attributes:
+        at_s: When, from the start of the load.
+        age_s: Age of the copy.
+    """
+
+    at_s: float
+    age_s: float
+
+
+def draw_restores(seed: int, seconds: float) -> list[Restore]:
+    """Returns when the store of a seed comes back from older copies.
+
+    They are drawn apart from the other faults and overlap with them.
+
+    Args:
+        seed: The soak's seed.
+        seconds: Length of the time with faults.
+    """
+    random = Random(f'restores {seed}')
+    return [
+        Restore(random.uniform(1.0, seconds), random.uniform(0.2, 4.0))
+        for _ in range(random.randint(0, 2))
+    ]
+
+
 class LinkCut(Struct, frozen=True):
     """Hosts that lose their links to all servers.
 
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -34,6 +34,7 @@
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.plan import Fault
 from cowslipmill.soak.plan import LinkCut
+from cowslipmill.soak.plan import Restore
 from cowslipmill.soak.plan import ServerNotice
 from cowslipmill.soak.plan import Step
 from cowslipmill.soak.proxy import Proxy
@@ -53,6 +54,8 @@
 SETTLE_S = 0.5
 # Time from a server's word that it leaves to its entry that says so.
 ENTRY_DELAY_S = 2.5
+# Time in which servers and operators write again what a store has lost.
+REWRITE_S = 1.0
 STOP_S = 4.0
 # Ports of a host: its listeners, then the proxies before it.
 PORTS = (7101, 7102, 7103, 7104, 7105)
@@ -133,6 +136,10 @@
     def configure(self) -> None:
         """Publishes the next configuration."""
         self.version += 1
+        self.publish_configuration()
+
+    def publish_configuration(self) -> None:
+        """Writes the configuration."""
         routes = [
             make_route(
                 f'/{kind}/',
@@ -391,6 +398,17 @@
                 if name not in self.left:
                     self.publish(name)
 
+    async def restore_store(self, restore: Restore) -> None:
+        """Has the store come back from a copy; what it lost comes again."""
+        await sleep(max(0.0, restore.at_s - restore.age_s))
+        copy = self.store.copy()
+        await sleep(min(restore.at_s, restore.age_s))
+        self.store.restore(copy)
+        await sleep(self.random.uniform(0.1, REWRITE_S))
+        self.publish_configuration()
+        for name in self.backends:
+            self.publish(name, 'draining' if name in self.left else 'ready')
+
     async def call(self, number: int) -> None:
         """Is one caller who keeps its connection while it lasts."""
         loop = get_running_loop()
