A pause or a limit of a server outlasts an entry that lapses

A limit was learned again only from the next response, so that a coordinator granted all its slots at first.

Change: pauses are dropped when they have ended, limits only beyond 4,096 servers. Both belong to one incarnation, so that a new one is free of them.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -401,8 +401,6 @@
             )
             self.lease_manager.pauses.drop_ended(now)
             for name in self.view.drop_missing(now):
-                self.lease_manager.rate_limits.forget(name)
-                self.lease_manager.pauses.forget(name)
                 LOG.info('server gone', extra={'server': name})
 
     def on_view_events(self, events: list[StoreEvent], source: str) -> None:
--- a/cowslipmill/host/tests/test_ratelimits.py
+++ b/cowslipmill/host/tests/test_ratelimits.py
@@ -20,6 +20,7 @@
 from cowslipmill.fleet.messages import Ping
 from cowslipmill.host.host import Host
 from cowslipmill.host.tests.conftest import Fleet
+from cowslipmill.host.tests.conftest import make_server_entry
 from cowslipmill.http1.message import Response
 from cowslipmill.leasing.ratelimits import COORDINATOR_SHARES
 from cowslipmill.leasing.ratelimits import MIN_LIMIT_PER_S
@@ -199,3 +200,20 @@
         responses.append(await fleet.send_request(f'/book/{number}'))
         await sleep(0.03)
     assert_that({r.status for r in responses}, Equals({200}))
+
+
+async def test_a_limit_outlasts_an_entry_that_lapses(fleet: Fleet) -> None:
+    """The server is the same when its entry is written again."""
+    (host,) = fleet.hosts
+    limited = fleet.backends['one']
+    limited.limit_per_s = LIMIT_PER_S
+    await keep_sending(fleet, host.clock() + LEARN_S)
+    fleet.store.remove('servers/one')
+    await fleet.wait_until(lambda: 'one' not in host.view.servers)
+    fleet.store.put('servers/one', make_server_entry(limited))
+    await fleet.wait_until(lambda: 'one' in host.view.servers)
+    record = host.view.servers['one'].record
+    limits = host.lease_manager.rate_limits
+    assert_that(
+        limits.per_s(record.name, record.started_ms), Equals(LIMIT_PER_S)
+    )
--- a/cowslipmill/leasing/ratelimits.py
+++ b/cowslipmill/leasing/ratelimits.py
@@ -21,6 +21,8 @@
 MIN_LIMIT_PER_S = 0.25
 # Bounds the expected wait for a server that this host may not use at all.
 MIN_BUCKET_PER_S = 0.05
+# Number of servers whose limits are kept.
+MAX_KNOWN = 4_096
 
 RATE_LIMITS = Counter(
     'cowslipmill_host_rate_limits_total',
@@ -116,7 +118,9 @@
 
     Attributes:
         known: Limits by the server's name, also those that have ended, so
-            that an older report doesn't revive them.
+            that an older report doesn't revive them, and those of servers
+            whose entries have lapsed. Beyond `MAX_KNOWN` the one named first
+            is forgotten.
     """
 
     __slots__ = ('known',)
@@ -157,7 +161,10 @@
             return
         if limit is None:
             limit = KnownLimit(started_ms, None, float('-inf'))
+            self.known.pop(server, None)
             self.known[server] = limit
+            if len(self.known) > MAX_KNOWN:
+                del self.known[next(iter(self.known))]
         if observed_at < limit.observed_at:
             return
         limit.observed_at = observed_at
@@ -205,7 +212,3 @@
             return None
         age_s = round(max(0.0, now - limit.observed_at), 4)
         return LimitReport(limit.per_s, age_s)
-
-    def forget(self, server: str) -> None:
-        """Drops the limit of a server that is gone."""
-        self.known.pop(server, None)
--- a/cowslipmill/leasing/serverpauses.py
+++ b/cowslipmill/leasing/serverpauses.py
@@ -40,7 +40,7 @@
 
     Attributes:
         known: Pauses by the server's name, and ended ones until
-            `drop_ended`.
+            `drop_ended`. The entry of a server may lapse in its pause.
     """
 
     __slots__ = ('known',)
@@ -106,7 +106,3 @@
         for name, pause in list(self.known.items()):
             if now >= pause.ends_at:
                 del self.known[name]
-
-    def forget(self, server: str) -> None:
-        """Drops the pause of a server that is gone."""
-        self.known.pop(server, None)
