Have the test of a pause outlast a server that requests find gone

That of the pause passed on the code before, too, since no request came while the server was gone, and its coordinator kept the old state. With five requests in between it fails on the code before (1 arrival where 0 are allowed) and passes on.

--- a/cowslipmill/host/tests/test_serverpauses.py
+++ b/cowslipmill/host/tests/test_serverpauses.py
@@ -144,6 +144,7 @@
     await start_pause(fleet, backend, str(2 * PAUSE_S))
     fleet.store.remove('servers/one')
     await fleet.wait_until(lambda: 'one' not in fleet.hosts[0].view.servers)
+    await send_to_all(fleet, 5)
     fleet.store.put('servers/one', make_server_entry(backend))
     await send_to_all(fleet, 150)
     assert_that(most_late_arrivals(backend, 2 * PAUSE_S), Equals(0))
