--- a/cowslipmill/soak/tests/test_soak.py
+++ b/cowslipmill/soak/tests/test_soak.py
@@ -12,7 +12,10 @@
 
 SECONDS = 6.0
 SEEDS = (1, 2)
-REGRESSIONS: tuple[int, ...] = ()
+REGRESSIONS = (
+    # A host forgot a server's pause with its entry, which came back.
+    239,
+)
 
 
 @pytest.mark.parametrize('seed', [*SEEDS, *REGRESSIONS])
