--- a/cowslipmill/forwarding/crashtracker.py
+++ b/cowslipmill/forwarding/crashtracker.py
@@ -150,6 +150,13 @@
                 fingerprint, incarnation_of(server)
             ):
                 SUSPECT_EVENTS.labels('dismissed').inc()
+                LOG.info(
+                    'crash dismissed',
+                    extra={
+                        **self.log_fields(fingerprint),
+                        'server': incarnation_of(server),
+                    },
+                )
                 self.broadcast(fingerprint)
 
     async def check_silent(
