--- a/cowslipmill/host/tests/test_suspects.py
+++ b/cowslipmill/host/tests/test_suspects.py
@@ -4,7 +4,9 @@
 refusing a harmless one for good.
 """
 
+from asyncio import create_task
 from asyncio import gather
+from asyncio import get_running_loop
 from asyncio import sleep
 
 import pytest
@@ -17,6 +19,7 @@
 from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import HOST_HEADER
 from cowslipmill.http1.message import Request
+from cowslipmill.standin.backend import DownAddress
 from cowslipmill.standin.backend import Fault
 from cowslipmill.suspects import record
 from cowslipmill.suspects.record import CRASH_LIMIT
@@ -63,6 +66,18 @@
         await sleep(0.15)
 
 
+async def send_harmless(fleet: Fleet, count: int) -> None:
+    """Sends safe requests to all hosts in turn, about 100 a second."""
+    tasks = []
+    for number in range(count):
+        host = number % len(fleet.hosts)
+        tasks.append(
+            create_task(fleet.send_request(f'/read/{number}', host=host))
+        )
+        await sleep(0.01)
+    await gather(*tasks)
+
+
 async def wait_for_servers(fleet: Fleet) -> None:
     await fleet.wait_until(
         lambda: all(b.serving for b in fleet.backends.values())
@@ -79,6 +94,26 @@
     raise AssertionError(f'the request never got {status}')
 
 
+@pytest.mark.parametrize('target', [CRASHER, SAFE_CRASHER])
+@pytest.mark.parametrize('down_address', DownAddress)
+@pytest.mark.parametrize('silently', [False, True])
+async def test_a_crash_counts_although_the_address_accepts_connections(
+    fleet: Fleet, target: str, down_address: DownAddress, silently: bool
+) -> None:
+    """Something else may accept them while the server is down."""
+    make_crashing(fleet)
+    for backend in fleet.backends.values():
+        backend.down_address = down_address
+        backend.crashes_silently = silently
+    loop = get_running_loop()
+    until = loop.time() + 14.0
+    while loop.time() < until:
+        await fleet.send_request(target, deadline_ms=500)
+        await sleep(0.1)
+    # Two crashes, and one trial after the backoff.
+    assert_that(fleet.execution_count(), LessThan(CRASH_LIMIT + 2))
+
+
 async def test_a_new_host_does_not_send_a_known_crasher(
     large_fleet: Fleet,
 ) -> None:
@@ -284,6 +319,25 @@
     await fleet.wait_until(lambda: set(known.crash_ids.values()) == {True})
 
 
+async def test_a_server_that_resets_new_connections_has_not_crashed(
+    large_fleet: Fleet,
+) -> None:
+    """One with too many connections still responds on the others."""
+    fleet = large_fleet
+    count = 8 * len(fleet.hosts)
+    await send_harmless(fleet, count)
+    for backend in fleet.backends.values():
+        backend.break_marker = 'crasher'
+        backend.resets_new = True
+    crasher = create_task(fleet.send_request(CRASHER))
+    known = fleet.hosts[0].forwarder.crash_tracker.suspects.records
+    for _ in range(20):
+        await send_harmless(fleet, count)
+    await crasher
+    crash_ids = known[fingerprint(CRASHER)].crash_ids
+    assert_that(set(crash_ids.values()), Equals({True}))
+
+
 @pytest.mark.parametrize('target', [CRASHER, SAFE_CRASHER])
 async def test_a_silent_crash_is_recorded(fleet: Fleet, target: str) -> None:
     """A server that ends without a reset counts as crashed."""
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -103,6 +103,14 @@
     TRICKLING_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'x')
 
 
+class DownAddress(Enum):
+    """What happens to connections to the address of a crashed server."""
+
+    REFUSES = 'refuses'
+    RESETS = 'resets'
+    SILENT = 'silent'
+
+
 class Arrival(NamedTuple):
     """One request that has reached the server.
 
@@ -144,6 +152,10 @@
         crash_marker: A request whose target holds it crashes the server,
             which starts again after `CRASH_DOWN_S`; empty for none.
         crashes_silently: Whether connections stay open and silent then.
+        down_address: What happens to new connections then.
+        break_marker: A request whose target holds it has its connection
+            reset; empty for none.
+        resets_new: Whether new connections are reset, as if it had too many.
         runs: Requests that it began, in their order.
         health_asked: Questions for its health.
         running: Requests at work.
@@ -170,6 +182,10 @@
         self.hangs_when_full = False
         self.crash_marker = ''
         self.crashes_silently = False
+        self.down_address = DownAddress.REFUSES
+        self.break_marker = ''
+        self.resets_new = False
+        self.substitute: Server | None = None
         self.runs: list[Run] = []
         self.health_asked = 0
         self.running = 0
@@ -185,19 +201,26 @@
 
     async def start(self) -> None:
         """Listens, on the same port after a crash."""
+        if self.substitute is not None:
+            self.substitute.close()
+            self.substitute = None
         self.server = await start_server(self.serve, *self.address)
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = (host, port)
 
     def stop(self) -> None:
         """Ends at once with every connection."""
-        if self.server is not None:
-            self.server.close()
+        for listener in (self.server, self.substitute):
+            if listener is not None:
+                listener.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Serves one connection."""
+        if self.resets_new:
+            reset(writer)
+            return
         self.writers.add(writer)
         try:
             while await self.serve_one(reader, writer):
@@ -277,6 +300,9 @@
         self.runs.append(run)
         if self.crash_marker and self.crash_marker in run.target:
             return await self.crash(writer)
+        if self.break_marker and self.break_marker in run.target:
+            reset(writer)
+            return False
         self.running += 1
         try:
             if not await self.wait_for_work(reader):
@@ -295,11 +321,29 @@
         if self.crashes_silently:
             assert self.server is not None
             self.server.close()
+            await self.listen_in_place()
             await sleep(SILENCE_S)
         reset(writer)
         self.stop()
+        await self.listen_in_place()
         return False
 
+    async def listen_in_place(self) -> None:
+        """Has something else accept connections while the server is down."""
+        if self.down_address is not DownAddress.REFUSES:
+            self.substitute = await start_server(
+                self.accept_in_place, *self.address
+            )
+
+    async def accept_in_place(
+        self, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        """Resets a connection, or leaves it without a response."""
+        if self.down_address is DownAddress.SILENT:
+            self.writers.add(writer)
+            return
+        reset(writer)
+
     async def start_again(self) -> None:
         """Listens after a crash unless it does already."""
         if not self.serving:
