Count a crash unless the server responds to some host

What callers saw: a crashing request was tried again after 1, 2, 4, ... 60 s for as long as it came, one server lost each time, if something accepted connections at the address of a server that was down.

Cause: a check took any connection that was accepted for a running server, since a full one resets or ignores health requests, and dismissed the crash. The class of fault: no evidence was taken for evidence.

Change: a check has three results. A response of the server, to the check or to anything else since the loss, shows that it runs; a refused connection that it is down; one that is only accepted shows nothing, and this host and five others check twice more within about a second. Without a response to any of them the crash stands.

Looked for elsewhere: the path checks take a reset for neither; the entries of the larger product dismiss nothing.

--- a/cowslipmill/forwarding/crashtracker.py
+++ b/cowslipmill/forwarding/crashtracker.py
@@ -142,8 +142,9 @@
         self, fingerprints: Fingerprints, server: ServerRecord
     ) -> None:
         """Dismisses a crash if the server is running."""
+        lost_at = self.clock()
         await sleep(CHECK_DELAY_S)
-        if not await self.running_checks.is_running(server):
+        if not await self.running_checks.is_running(server, lost_at):
             return
         for fingerprint in set(fingerprints):
             if self.suspects.dismiss_crash(
@@ -167,8 +168,9 @@
         delay_s: float,
     ) -> None:
         """Reports a crash if the server isn't running after a delay."""
+        doubted_at = self.clock()
         await sleep(delay_s)
-        if not await self.running_checks.is_running(server):
+        if not await self.running_checks.is_running(server, doubted_at):
             self.report_crash(fingerprints, incarnation_of(server), request_id)
 
     def report_crash(
--- a/cowslipmill/forwarding/headercodec.py
+++ b/cowslipmill/forwarding/headercodec.py
@@ -116,6 +116,12 @@
     ) -> Load | None:
         """Returns a server's load; None if another server responded."""
 
+    def is_from_server(self, response: Response) -> bool:
+        """Returns whether a server sent a response to a health request.
+
+        Something that accepts connections in its place may send one, too.
+        """
+
     def error_response(
         self, status: int, request_id: str, retry_after_s: float | None
     ) -> Response:
--- a/cowslipmill/host/tests/test_suspects.py
+++ b/cowslipmill/host/tests/test_suspects.py
@@ -104,6 +104,7 @@
     make_crashing(fleet)
     for backend in fleet.backends.values():
         backend.down_address = down_address
+        backend.down_s = 3.0
         backend.crashes_silently = silently
     loop = get_running_loop()
     until = loop.time() + 14.0
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
+from enum import Enum
 from time import time
 
 from prometheus_client import Counter
@@ -32,6 +33,22 @@
 )
 
 
+class RunState(Enum):
+    """What a check shows of a server.
+
+    Attributes:
+        RUNNING: It responded.
+        DOWN: Connections are refused, or another server responded.
+        UNCLEAR: A connection was accepted, but the server didn't respond. A
+            full server does that, and so does whatever may accept connections
+            in the place of one that is down.
+    """
+
+    RUNNING = 'running'
+    DOWN = 'down'
+    UNCLEAR = 'unclear'
+
+
 class Prober:
     """Probes servers, over one connection to each.
 
@@ -126,31 +143,31 @@
                 server.name, server.record.started_ms, per_s, self.clock()
             )
 
-    async def is_running(self, record: ServerRecord, path: str) -> bool:
-        """Returns whether a server still accepts connections.
+    async def check(self, record: ServerRecord, path: str) -> RunState:
+        """Returns what a health check over a new connection shows.
 
         Args:
             record: The server.
             path: Path of its health check.
-
-        Returns:
-            False also if another server responds at its address.
         """
         try:
             connection = await self.dialer.open(
                 record.address, CONNECT_TIMEOUT_S
             )
         except ConnectFailed:
-            return False
+            return RunState.DOWN
         request = self.header_codec.health_request(record, path)
         try:
             response = await exchange_with_timeout(connection, request)
         except (ConnectFailed, ExchangeFailed, TimeoutError):
-            # A full server may reset the connection or not respond.
-            return True
+            return RunState.UNCLEAR
         finally:
             connection.close()
-        return self.header_codec.decode_health(response, record) is not None
+        if self.header_codec.decode_health(response, record) is None:
+            return RunState.DOWN
+        if not self.header_codec.is_from_server(response):
+            return RunState.UNCLEAR
+        return RunState.RUNNING
 
     async def connect(self, address: tuple[str, int]) -> ServerConnection:
         """Returns an open connection for load probes to an address.
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -42,6 +42,8 @@
 )
 # Headers between this host and a server that the caller does not get.
 HOST_ONLY_HEADERS = frozenset((SERVER_LOAD, SERVER_NAME))
+# A response to a health request has one of these if it is from a server.
+SERVER_HEADERS = (SERVER_NAME, SERVER_LOAD, NOT_EXECUTED)
 # Headers of the caller that this host replaces by its own.
 REPLACED_HEADERS = frozenset((DEADLINE, EXPECTED_SERVER))
 
@@ -210,6 +212,13 @@
             load = Load(0, 0, server.slots, 1.0, reported=False)
         return replace(load, healthy=response.status == 200)
 
+    def is_from_server(self, response: Response) -> bool:
+        """Returns whether a server sent a response to a health request.
+
+        It has at least one of the headers that only servers send.
+        """
+        return any(response.header(name) for name in SERVER_HEADERS)
+
     def error_response(
         self, status: int, request_id: str, retry_after_s: float | None
     ) -> Response:
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -107,22 +107,26 @@
 
 
 class AskRunning(Struct, frozen=True, array_like=True, tag='ask-running'):
-    """Asks whether a server accepts connections; the reply is `Running`.
+    """Asks whether a server is running; the reply is `Running`.
 
     Attributes:
         server: The server's name.
         started_ms: Unix milliseconds of the server's start.
+        doubted_s: Seconds since the sender has reason to doubt it.
     """
 
     server: str
     started_ms: int
+    doubted_s: float = 0.0
 
 
 class Running(Struct, frozen=True, array_like=True, tag='running'):
-    """Says whether a server accepts connections, in the same incarnation.
+    """Says whether a server is running, in the same incarnation.
 
     Attributes:
-        running: Whether it does; None if the host can't tell.
+        running: Whether it is; None if the host can't tell.
+        unclear: Whether it accepts connections, but doesn't respond.
     """
 
     running: bool | None
+    unclear: bool = False
--- a/cowslipmill/relays/runningchecks.py
+++ b/cowslipmill/relays/runningchecks.py
@@ -4,21 +4,30 @@
 loses with them are no crashes of servers.
 """
 
+from asyncio import gather
+from asyncio import sleep
 from collections.abc import Callable
 from random import Random
 
 from cowslipmill.fleet.memberlist import MemberList
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.leasing.prober import Prober
+from cowslipmill.leasing.prober import RunState
 from cowslipmill.relays.messages import AskRunning
 from cowslipmill.relays.messages import Running
 from cowslipmill.view.server import ServerRecord
 from cowslipmill.view.view import View
 
-# A host replies once a connection attempt has timed out, at the latest.
-REPLY_TIMEOUT_S = 0.25
-# Hosts that are asked for one check.
+# A host replies once its own check has timed out, at the latest.
+REPLY_TIMEOUT_S = 0.35
+# Hosts that are asked at the same time.
 MAX_HOSTS_ASKED = 5
+# Checks of a server that accepts connections and doesn't respond. A full one
+# responds to some host meanwhile; one that crashed starts again after seconds.
+MAX_CHECKS = 3
+CHECK_INTERVAL_S = 0.2
+# A response that a server sent before it crashed may arrive so much later.
+RESPONSE_DELAY_S = 0.1
 
 
 class RunningChecks:
@@ -50,16 +59,38 @@
         self.random = random
         rpc.register(AskRunning, self.on_ask_running)
 
-    async def is_running(self, server: ServerRecord) -> bool:
+    async def is_running(
+        self, server: ServerRecord, doubted_at: float
+    ) -> bool:
         """Returns whether a server is running, in the same incarnation.
 
-        True also if neither this host nor those that it asks can tell.
+        One that accepts connections isn't, unless it responds to some host.
+        True if neither this host nor those that it asks can tell.
+
+        Args:
+            server: The server.
+            doubted_at: Since when that is in doubt, in monotonic seconds.
         """
-        running = await self.check_own_path(server)
-        if running:
-            return True
-        message = AskRunning(server.name, server.started_ms)
+        for number in range(MAX_CHECKS):
+            if number:
+                await sleep(CHECK_INTERVAL_S)
+            states = [await self.check_own_path(server, doubted_at)]
+            if states[0] is not RunState.RUNNING:
+                states += await self.ask_others(server, doubted_at)
+            if RunState.RUNNING in states:
+                return True
+            if RunState.UNCLEAR not in states:
+                return RunState.DOWN not in states
+        return False
+
+    async def ask_others(
+        self, server: ServerRecord, doubted_at: float
+    ) -> list[RunState | None]:
+        """Returns what some other hosts find; None for one that can't tell."""
         now = self.clock()
+        message = AskRunning(
+            server.name, server.started_ms, round(now - doubted_at, 4)
+        )
         members = [
             state.member
             for state in self.member_list.ranked_states('running', '')
@@ -67,31 +98,45 @@
             and now >= state.backoff_until
         ]
         self.random.shuffle(members)
-        for member in members[:MAX_HOSTS_ASKED]:
-            reply = await self.rpc.call(
-                member.address, message, REPLY_TIMEOUT_S
+        replies = await gather(
+            *(
+                self.rpc.call(member.address, message, REPLY_TIMEOUT_S)
+                for member in members[:MAX_HOSTS_ASKED]
             )
-            if isinstance(reply, Running) and reply.running is not None:
-                return reply.running
-        return running is None
+        )
+        return [
+            state_of(reply) if isinstance(reply, Running) else None
+            for reply in replies
+        ]
+
+    async def check_own_path(
+        self, server: ServerRecord, doubted_at: float
+    ) -> RunState | None:
+        """Returns whether a server is running, by what this host sees.
 
-    async def check_own_path(self, server: ServerRecord) -> bool | None:
-        """Returns whether a server is running, by a new connection.
+        That is a response since the doubt, or a new connection.
 
         Returns:
             None if this host can't tell, since it reaches no server or may
             send nothing to this one.
         """
+        known = self.view.servers.get(server.name)
+        if known is not None and known.record.started_ms != server.started_ms:
+            return RunState.DOWN
+        if self.prober.paths.was_reached_since(
+            server.address, doubted_at + RESPONSE_DELAY_S
+        ):
+            return RunState.RUNNING
         if self.prober.paths.isolated:
             return None
         if self.prober.pauses.is_paused(server, self.clock()):
             return None
         service = self.view.services.get(server.service)
         path = '/' if service is None else service.health_path
-        if not await self.prober.is_running(server, path):
-            return None if self.prober.paths.isolated else False
-        known = self.view.servers.get(server.name)
-        return known is None or known.record.started_ms == server.started_ms
+        state = await self.prober.check(server, path)
+        if state is RunState.DOWN:
+            return None if self.prober.paths.isolated else state
+        return state
 
     async def on_ask_running(
         self, message: AskRunning, sender: str
@@ -100,4 +145,18 @@
         known = self.view.servers.get(message.server)
         if known is None or known.record.started_ms != message.started_ms:
             return Running(None if known is None else False)
-        return Running(await self.check_own_path(known.record))
+        state = await self.check_own_path(
+            known.record, self.clock() - message.doubted_s
+        )
+        if state is None or state is RunState.UNCLEAR:
+            return Running(None, unclear=state is RunState.UNCLEAR)
+        return Running(state is RunState.RUNNING)
+
+
+def state_of(reply: Running) -> RunState | None:
+    """Returns what another host finds; None if it can't tell."""
+    if reply.unclear:
+        return RunState.UNCLEAR
+    if reply.running is None:
+        return None
+    return RunState.RUNNING if reply.running else RunState.DOWN
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -150,7 +150,8 @@
             address.
         hangs_when_full: Whether it hangs instead of shedding.
         crash_marker: A request whose target holds it crashes the server,
-            which starts again after `CRASH_DOWN_S`; empty for none.
+            which starts again after `down_s`; empty for none.
+        down_s: Time for which it is down then, in seconds.
         crashes_silently: Whether connections stay open and silent then.
         down_address: What happens to new connections then.
         break_marker: A request whose target holds it has its connection
@@ -181,6 +182,7 @@
         self.told_leaving: dict[str, float] = {}
         self.hangs_when_full = False
         self.crash_marker = ''
+        self.down_s = CRASH_DOWN_S
         self.crashes_silently = False
         self.down_address = DownAddress.REFUSES
         self.break_marker = ''
@@ -251,7 +253,7 @@
         sender_ip = writer.get_extra_info('peername')[0]
         arrival = Arrival(sender_ip, clock(), target == '/health')
         self.arrivals.append(arrival)
-        if self.fault is Fault.SILENT:
+        if self.fault is Fault.SILENT or not self.serving:
             await sleep(SILENCE_S)
         if self.says_leaving:
             self.told_leaving.setdefault(sender_ip, arrival.at)
@@ -317,7 +319,7 @@
     async def crash(self, writer: StreamWriter) -> bool:
         """Ends with every connection and starts again after a while."""
         loop = get_running_loop()
-        loop.call_later(CRASH_DOWN_S, lambda: create_task(self.start_again()))
+        loop.call_later(self.down_s, lambda: create_task(self.start_again()))
         if self.crashes_silently:
             assert self.server is not None
             self.server.close()
