Test that a restarted host sends no crasher that the others know

The host gets the configuration within milliseconds and the records of suspect requests only over links that the others open again, or by the comparison of each second.

--- a/cowslipmill/host/tests/conftest.py
+++ b/cowslipmill/host/tests/conftest.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from msgspec.structs import replace
 import pytest
 import pytest_asyncio
 
@@ -64,6 +65,19 @@
     return make_entry(backend, backend.address, DOMAINS[0], **fields)
 
 
+async def start_host(settings: HostSettings) -> Host:
+    """Starts a host with the platform's store and headers."""
+    host = Host(
+        settings,
+        PlatformStoreApi('store'),
+        PlatformHeaderCodec(),
+        deployment='tests',
+        metrics_port=0,
+    )
+    await host.start()
+    return host
+
+
 class Fleet:
     """Hosts, servers and a store in one event loop.
 
@@ -119,17 +133,28 @@
             first_start=first_start,
             server_source_ip=callers[0],
         )
-        host = Host(
-            settings,
-            PlatformStoreApi('store'),
-            PlatformHeaderCodec(),
-            deployment='tests',
-            metrics_port=0,
-        )
-        await host.start()
+        host = await start_host(settings)
         self.hosts.append(host)
         return host
 
+    async def restart_host(self, number: int) -> Host:
+        """Stops a host at once and starts it anew, which knows nothing.
+
+        Args:
+            number: Its index; it keeps its name and addresses.
+        """
+        old = self.hosts[number]
+        await old.stop()
+        old.rpc.abort()
+        for listener in old.listeners:
+            listener.close()
+        settings = replace(old.settings, first_start=False)
+        if not settings.seeds:
+            other = self.hosts[number - 1].settings
+            settings = replace(settings, seeds=(other.peer_listen,))
+        self.hosts[number] = await start_host(settings)
+        return self.hosts[number]
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Waits for a condition to hold.
 
--- a/cowslipmill/host/tests/test_suspects.py
+++ b/cowslipmill/host/tests/test_suspects.py
@@ -134,6 +134,39 @@
     assert_that(large_fleet.execution_count(), Equals(runs))
 
 
+@pytest.mark.parametrize('number', range(4))
+async def test_a_restarted_host_sends_no_known_crasher_from_its_first_moment(
+    large_fleet: Fleet, number: int
+) -> None:
+    """Callers reach it before it is ready, and before it is told."""
+    make_crashing(large_fleet)
+    await crash_servers(large_fleet, CRASHER)
+    await wait_for_servers(large_fleet)
+    runs = large_fleet.execution_count()
+    await large_fleet.restart_host(number)
+    statuses = set()
+    for _ in range(100):
+        response = await large_fleet.send_request(CRASHER, host=number)
+        statuses.add(response.status)
+        await sleep(0.01)
+    assert_that(statuses, Equals({503}))
+    assert_that(large_fleet.execution_count(), Equals(runs))
+
+
+async def test_a_host_whose_seeds_do_not_respond_serves_all_the_same(
+    fleet: Fleet,
+) -> None:
+    """It doesn't wait for what nobody can tell it."""
+    await fleet.add_host()
+    seed = fleet.hosts.pop(0)
+    await seed.stop()
+    seed.rpc.abort()
+    await fleet.restart_host(0)
+    await sleep(1.0)
+    response = await fleet.send_request('/read/1')
+    assert_that(response.status, Equals(200))
+
+
 async def test_a_host_that_missed_crash_reports_learns_them_later(
     large_fleet: Fleet,
 ) -> None:
