Hosts that start ask for suspect requests before they serve

What callers saw: each start of a host cost up to two servers, since it sent a crashing request that all others refused.

Cause: a host was ready, and served whoever came before, once it had a configuration. The records of suspect requests came by a message of its own that was dropped while the other host's link to it was opened again, or by the comparison of each second. Class of fault: a start was taken for complete without a part of the state that decisions need.

Change: a host that starts asks all its seeds at once, by a call that returns their records, and refuses with 503 and isn't ready until one that is itself complete has told it, or for 0.5 s if nobody does, so that a lone host and hosts that all start at once serve. The message after a Hello is gone.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -1,5 +1,6 @@
 """Gossip between hosts: membership and changes of the store."""
 
+from asyncio import gather
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
@@ -9,9 +10,11 @@
 
 from cowslipmill.fleet.memberlist import MemberList
 from cowslipmill.fleet.messages import AskSnapshot
+from cowslipmill.fleet.messages import AskSuspects
 from cowslipmill.fleet.messages import BroadcastMessage
 from cowslipmill.fleet.messages import Compare
 from cowslipmill.fleet.messages import Hello
+from cowslipmill.fleet.messages import KnownSuspects
 from cowslipmill.fleet.messages import Leaving
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.messages import Members
@@ -48,6 +51,10 @@
 CROSS_DOMAIN_EVERY = 2
 # Pause before seeds that haven't responded are contacted again.
 SEED_INTERVAL_S = 1.0
+# Time after which a host that starts serves without knowing the suspect
+# requests of others. A seed that is running replies within milliseconds; if
+# all hosts start at once, none can tell anything.
+CATCH_UP_TIMEOUT_S = 0.5
 
 Address = tuple[str, int]
 OnEvents = Callable[[list[StoreEvent], str], None]
@@ -68,6 +75,8 @@
         clock: Returns monotonic seconds.
         random: Random numbers for the choice of peers.
         contacted: Addresses of hosts that have responded to a `Hello`.
+        started_at: When this host started, in monotonic seconds.
+        told_suspects: Whether another host has told all suspect requests.
     """
 
     def __init__(
@@ -93,6 +102,8 @@
         self.clock = clock
         self.random = random
         self.contacted: set[Address] = set()
+        self.started_at = clock()
+        self.told_suspects = False
         rpc.register(Hello, self.on_hello)
         rpc.register(Members, self.on_members)
         rpc.register(Compare, self.on_compare)
@@ -101,6 +112,21 @@
         rpc.register(News, self.on_news)
         rpc.register(AskSnapshot, self.on_ask_snapshot)
         rpc.register(ServerLeaving, self.on_server_leaving)
+        rpc.register(AskSuspects, self.on_ask_suspects)
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether this host knows the suspect requests, or nobody told it."""
+        waited_s = self.clock() - self.started_at
+        return self.told_suspects or waited_s >= CATCH_UP_TIMEOUT_S
+
+    @Service.task
+    async def catch_up(self) -> None:
+        """Asks all seeds for suspect requests, since any may be gone."""
+        own = self.member_list.own.address
+        await gather(
+            *(self.fetch_suspects(seed) for seed in self.seeds if seed != own)
+        )
 
     @Service.task
     async def greet_seeds(self) -> None:
@@ -168,6 +194,8 @@
         if not await self.exchange_members(address, '', message):
             return
         self.contacted.add(address)
+        if not self.caught_up:
+            await self.fetch_suspects(address)
         if not self.view.usable:
             await self.fetch_snapshot(address)
 
@@ -222,6 +250,35 @@
             extra={'revision': request.since, 'version': request.version},
         )
 
+    async def fetch_suspects(self, address: Address) -> None:
+        """Asks another host for all suspect requests.
+
+        Args:
+            address: IP address and port of the other host.
+        """
+        reply = await self.rpc.call(address, AskSuspects(), CALL_TIMEOUT_S)
+        if not isinstance(reply, KnownSuspects):
+            return
+        now = self.clock()
+        for summary in reply.records:
+            self.suspects.merge(summary, now)
+        if reply.complete and not self.told_suspects:
+            self.told_suspects = True
+            LOG.info(
+                'suspects told',
+                extra={
+                    'records': len(reply.records),
+                    'waited_ms': round(1_000 * (now - self.started_at), 1),
+                },
+            )
+
+    async def on_ask_suspects(
+        self, message: AskSuspects, sender: str
+    ) -> KnownSuspects:
+        """Replies with all suspect requests."""
+        records = self.suspects.shared_summaries(self.clock())
+        return KnownSuspects(records, self.caught_up)
+
     async def on_hello(self, message: Hello, sender: str) -> Members:
         """Adds the sender, announces it if it is new, and sends all members.
 
@@ -236,8 +293,6 @@
                 self.broadcast(update)
             else:
                 self.broadcast_in_domain(update)
-        if self.suspects.digest():
-            self.send_suspects(message.member)
         return Members(self.member_list.members())
 
     async def on_members(self, message: Members, sender: str) -> None:
--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -199,6 +199,25 @@
     relay: bool = False
 
 
+class AskSuspects(Struct, frozen=True, array_like=True, tag='ask-suspects'):
+    """Requests all suspect requests; the reply is `KnownSuspects`."""
+
+
+class KnownSuspects(
+    Struct, frozen=True, array_like=True, tag='known-suspects'
+):
+    """Reply to `AskSuspects`.
+
+    Attributes:
+        records: All records that the sender shares.
+        complete: Whether the sender itself doesn't wait for records of
+            others any more.
+    """
+
+    records: tuple[Summary, ...]
+    complete: bool
+
+
 class AskTrial(Struct, frozen=True, array_like=True, tag='ask-trial'):
     """Asks for permission to send a suspect request to one server.
 
@@ -276,6 +295,8 @@
     CancelLease,
     Report,
     Suspects,
+    AskSuspects,
+    KnownSuspects,
     AskTrial,
     TrialDecision,
     IdleLoss,
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -50,6 +50,9 @@
 FAILED_RETRY_AFTER_S = 0.02
 # Retry-After while this host stops; other hosts can take the request at once.
 STOPPING_RETRY_AFTER_S = 0.01
+# Retry-After of a host that starts and doesn't know the suspect requests yet;
+# most hosts that start know them within this time.
+STARTING_RETRY_AFTER_S = 0.1
 # Shortest Retry-After while no host can grant a trial of a suspect request.
 NO_TRIAL_RETRY_AFTER_S = 1.0
 # A hedge is sent early enough to take this many times the expected duration
@@ -209,6 +212,8 @@
         """Returns the response to a request; gives up after its deadline."""
         if context.deadline_at > self.stop_at:
             return self.refuse(context, 'stopping', STOPPING_RETRY_AFTER_S)
+        if not self.crash_tracker.gossip.caught_up:
+            return self.refuse(context, 'starting', STARTING_RETRY_AFTER_S)
         if self.crash_tracker.hold_s(context.fingerprints) > 0.0:
             retry_after_s = self.crash_tracker.retry_after_s(
                 context.fingerprints
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -311,7 +311,8 @@
     @property
     def ready(self) -> bool:
         """Whether this host accepts callers, as its readiness check says."""
-        return self.view.usable and not self.stopping
+        caught_up = self.gossip.caught_up
+        return self.view.usable and caught_up and not self.stopping
 
     def handle_readiness(
         self, request: Request, connection: CallerConnection
