Heed what servers say to checks: that they pause, or that they leave

A server that turned a check for a crash away and named a pause got requests in it, and one that told a check of its path or for a crash that it leaves got requests.

Cause: of the four places that read a server's response, the check for a crash recorded nothing and the check of a path no leaving. Class of fault: a fact that a server states is read in one place and not in the other ones.

Change: load probes and checks for crashes record by one method; a check of a path records both, unless another server responded at the address.

Evidence: test_what_a_server_says_to_a_check_counts failed in three of four cases before (two arrivals where the first said all) and passes.

Looked for elsewhere, by reading: a direct send and a request for another host look at pauses and leaving after the connection is there, right before the request is written; hedges and leases that were granted earlier go the same way.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -165,6 +165,7 @@
             clock,
             random,
             ServerPauses(),
+            self.gossip.report_server_leaving,
         )
         self.prober = Prober(
             self.path_checker.dialer,
--- a/cowslipmill/host/tests/test_serverpauses.py
+++ b/cowslipmill/host/tests/test_serverpauses.py
@@ -110,6 +110,26 @@
     assert_that(most_late_arrivals(backend), LessThan(MAX_ARRIVALS + 1))
 
 
+@pytest.mark.parametrize('leaving', [False, True])
+@pytest.mark.parametrize('check', ['path', 'running'])
+async def test_what_a_server_says_to_a_check_counts(
+    fleet: Fleet, check: str, leaving: bool
+) -> None:
+    """A check is turned away and told that it leaves like a request."""
+    host = fleet.hosts[0]
+    record = host.view.servers['one'].record
+    backend = fleet.backends['one']
+    backend.says_leaving = leaving
+    backend.pause = '' if leaving else str(PAUSE_S)
+    if check == 'path':
+        await host.path_checker.check(record)
+    else:
+        await host.prober.check(record, '/health')
+    assert_that(len(backend.arrivals), Equals(1))
+    await send_to_all(fleet, 40)
+    assert_that(len(backend.arrivals), Equals(1))
+
+
 async def test_a_server_is_used_again_after_its_pause(fleet: Fleet) -> None:
     """At once, although nothing asked for its health meanwhile."""
     backend = fleet.backends['one']
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -129,19 +129,24 @@
             LOAD_PROBES.labels('other-server').inc()
             server.block(self.clock())
             return
-        pause_s = self.header_codec.pause_s(response, time())
-        if pause_s is not None:
-            self.pauses.record(server.record, pause_s, self.clock())
         LOAD_PROBES.labels('answered').inc()
         server.record_load(load, sampled_at, self.clock())
+        self.record_statements(server.record, response)
+
+    def record_statements(
+        self, record: ServerRecord, response: Response
+    ) -> None:
+        """Records what a health response says of how a server may be used."""
+        now = self.clock()
+        pause_s = self.header_codec.pause_s(response, time())
+        if pause_s is not None:
+            self.pauses.record(record, pause_s, now)
         if self.header_codec.announces_leaving(response):
-            self.on_leaving(server.name, server.record.started_ms)
+            self.on_leaving(record.name, record.started_ms)
         per_s = self.header_codec.rate_limit(response, None)
         # A health response without a limit doesn't say that it has ended.
         if per_s is not None:
-            self.rate_limits.record(
-                server.name, server.record.started_ms, per_s, self.clock()
-            )
+            self.rate_limits.record(record.name, record.started_ms, per_s, now)
 
     async def check(self, record: ServerRecord, path: str) -> RunState:
         """Returns what a health check over a new connection shows.
@@ -167,6 +172,7 @@
             return RunState.DOWN
         if not self.header_codec.is_from_server(response):
             return RunState.UNCLEAR
+        self.record_statements(record, response)
         return RunState.RUNNING
 
     async def connect(self, address: tuple[str, int]) -> ServerConnection:
--- a/cowslipmill/paths/pathchecker.py
+++ b/cowslipmill/paths/pathchecker.py
@@ -34,6 +34,8 @@
         header_codec: Encodes health requests.
         random: Chooses servers to check.
         pauses: Servers that want nothing for a time, and are not checked.
+        on_leaving: Called with the name and the start of a server that says
+            that it leaves.
         checks: Checks in progress.
     """
 
@@ -42,6 +44,7 @@
         'clock',
         'dialer',
         'header_codec',
+        'on_leaving',
         'paths',
         'pauses',
         'pool',
@@ -59,8 +62,10 @@
         clock: Callable[[], float],
         random: Random,
         pauses: ServerPauses,
+        on_leaving: Callable[[str, int], None],
     ) -> None:
         """Starts without checks."""
+        self.on_leaving = on_leaving
         self.pauses = pauses
         self.paths = paths
         self.view = view
@@ -120,7 +125,11 @@
         self.paths.record_reached(
             server.address, connection.opened_at, self.clock()
         )
+        self.pool.release(server.address, connection)
+        if self.header_codec.decode_health(response, server) is None:
+            return
         pause_s = self.header_codec.pause_s(response, time())
         if pause_s is not None:
             self.pauses.record(server, pause_s, self.clock())
-        self.pool.release(server.address, connection)
+        if self.header_codec.announces_leaving(response):
+            self.on_leaving(server.name, server.started_ms)
