Keep a server's word that it leaves while its entry is away

A server that said so while its entry had lapsed, or was still that of its earlier incarnation on this host, was used again once the entry was read.

Cause: the word was recorded only for a server known in this incarnation. Class of fault: a fact is dropped since another source is behind.

Change: it is recorded by name and start, passed on, and applied to the entry that comes; an earlier start than the known one is ignored.

Evidence: test_a_word_of_leaving_outlasts_an_entry_that_is_away failed in both cases before and passes.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -347,9 +347,12 @@
             name: The server's name.
             started_ms: Unix milliseconds of the server's start.
         """
+        announced = self.view.announced_leaving
+        known_before = announced.get(name) == started_ms
         applied = self.view.record_leaving(name, started_ms)
         if applied:
             self.on_events(applied, 'server')
+        if announced.get(name) == started_ms and not known_before:
             self.broadcast(ServerLeaving(name, started_ms))
 
     async def on_server_leaving(
--- a/cowslipmill/view/tests/test_view.py
+++ b/cowslipmill/view/tests/test_view.py
@@ -46,6 +46,26 @@
     assert_that(available_names(view), Equals([]))
 
 
+@pytest.mark.parametrize('known_start', [None, 1])
+def test_a_word_of_leaving_outlasts_an_entry_that_is_away(
+    view: View, known_start: int | None
+) -> None:
+    """The entry has lapsed, or is still that of the incarnation before."""
+    if known_start is not None:
+        earlier = make_record(started_ms=known_start)
+        view.apply_events([ServerUpdated(earlier, 1)], 0.0)
+    view.record_leaving('server-1', 2)
+    record = make_record(started_ms=2)
+    view.apply_events([ServerUpdated(record, 2)], 1.0)
+    assert_that(available_names(view), Equals([]))
+
+
+def test_a_word_of_leaving_of_an_earlier_start_is_ignored(view: View) -> None:
+    view.apply_events([ServerUpdated(make_record(started_ms=2), 1)], 0.0)
+    view.record_leaving('server-1', 1)
+    assert_that(available_names(view), Equals(['server-1']))
+
+
 def test_an_older_entry_does_not_restore_a_removed_server(view: View) -> None:
     view.apply_events([ServerUpdated(make_record(), 1)], 0.0)
     view.apply_events([ServerRemoved('server-1', 5)], 0.0)
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -223,8 +223,9 @@
     def record_leaving(self, name: str, started_ms: int) -> list[StoreEvent]:
         """Records that a server itself said that it leaves.
 
-        It stands for this incarnation, whatever its entry in the store says.
-        Beyond `MAX_REMOVED_SERVERS` the earliest ones are forgotten.
+        It stands for this incarnation, whatever its entry in the store says,
+        also if that is away or still of an earlier one. Beyond
+        `MAX_REMOVED_SERVERS` the earliest ones are forgotten.
 
         Args:
             name: The server's name.
@@ -234,12 +235,13 @@
             The change of the view, if there is one.
         """
         known = self.servers.get(name)
-        if known is None or known.record.started_ms != started_ms:
+        known_ms = known.record.started_ms if known is not None else -1
+        if started_ms < max(known_ms, self.announced_leaving.get(name, -1)):
             return []
         self.announced_leaving[name] = started_ms
         if len(self.announced_leaving) > MAX_REMOVED_SERVERS:
             del self.announced_leaving[next(iter(self.announced_leaving))]
-        if known.record.leaving:
+        if known is None or known_ms != started_ms or known.record.leaving:
             return []
         known.record = replace(known.record, leaving=True)
         self.generation += 1
