Don't reuse a connection after a response without a request id

What callers saw, at operators of similar systems: a server sent a second copy of an answer late, on a connection that was in use again, and the next caller got it. Here: the copy of a rejection has no id that would tell it from the next response, so a request that ran was told as not run, or sent again.

Cause: an error without an id is taken for the response to the open request, and the connection was kept. Change: it is taken so once, and the connection is not used again.

Evidence: test_a_late_copy_of_a_rejection_is_not_taken_for_the_next_response got the copy (503, empty) before and passes. Copies with an id were skipped before. Cost: a new connection after each rejection without an id; not measured on its own.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -205,7 +205,10 @@
                 self.fail('answer to another request', reset=False)
             return
         pending, self.pending_response = self.pending_response, None
-        if close:
+        identified = response.header(self.request_id_header)
+        if close or (self.request_id and not identified):
+            # A late copy of a response without an id would be taken for the
+            # next one.
             self.reusable = False
         self.update_idle_deadline(response)
         if not pending.done():
--- a/cowslipmill/http1/tests/test_serverconnection.py
+++ b/cowslipmill/http1/tests/test_serverconnection.py
@@ -95,6 +95,25 @@
     assert_that(response.body, Equals(b'one r2'))
 
 
+async def test_a_late_copy_of_a_rejection_is_not_taken_for_the_next_response(
+    backend: StandinBackend,
+) -> None:
+    """A rejection has no request id that would tell them apart."""
+    backend.fault = Fault.SHED_EXTRA_LATE
+    pool = ConnectionPool()
+    connection = await connect(backend)
+    response = await connection.exchange(make_request(1))
+    assert_that(response.status, Equals(503))
+    pool.release(backend.address, connection)
+    backend.fault = Fault.NONE
+    backend.work_s = 0.1
+    now = get_running_loop().time()
+    reused = pool.acquire(backend.address, now)
+    connection = reused or await connect(backend)
+    response = await connection.exchange(make_request(2))
+    assert_that(response.body, Equals(b'one r2'))
+
+
 async def test_an_early_response_does_not_corrupt_the_next_request(
     backend: StandinBackend,
 ) -> None:
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -41,6 +41,7 @@
     NOT_FOUND = 'not-found'
     SHED = 'shed'
     SHED_LATE = 'shed-late'
+    SHED_EXTRA_LATE = 'shed-extra-late'
     FORGETS_IDLE = 'forgets-idle'
     SILENT = 'silent'
     OTHER_ID = 'other-id'
@@ -286,6 +287,12 @@
             self.shedding -= 1
             self.write(writer, 503, 'x-not-executed: 1\r\n')
             return True
+        if self.fault is Fault.SHED_EXTRA_LATE:
+            head = 'x-not-executed: 1\r\n'
+            self.write(writer, 503, head)
+            loop = get_running_loop()
+            loop.call_later(LATE_S, self.write, writer, 503, head)
+            return True
         if self.fault is Fault.SHED or self.running >= self.slots:
             if self.hangs_when_full and self.fault is not Fault.SHED:
                 await sleep(SILENCE_S)
