Bound the doublings of delays, which ended processes after 1,024 failures

What callers saw, at operators of similar systems: one unexpected error took a whole process down. Here: a store that was away for 20 minutes, or a host that was gone for nine, would have ended every host process, all about at once.

Cause: each delay computed a power of two with the number of failures in a row before it took the maximum; from the 1,024th on that raises OverflowError, and an exception in a task of a service ends the process. In five places: the read schedule of the store, links to other hosts, the backoff of hosts, the blocks of servers, and the agent's watcher.

Change: one function doubles up to a maximum. The bounded exponent of suspect requests (16 crashes at most) stays.

Evidence: on the code before, the tests of the store, of a host and of a server raised OverflowError; the test of a link calls a method that is new. Up to 1,024 failures the delays are the same.

--- a/cowslipmill/fleet/memberlist.py
+++ b/cowslipmill/fleet/memberlist.py
@@ -5,6 +5,7 @@
 
 from cowslipmill.coordination.rendezvous import rank
 from cowslipmill.fleet.messages import Member
+from cowslipmill.runtime.backoff import doubled
 
 # Time for which a host that didn't respond is not used; doubles with each
 # further failure.
@@ -179,7 +180,7 @@
             return
         if now - state.failed_at > REPEAT_FAILURE_WINDOW_S:
             state.failures = 0
-        backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**state.failures)
+        backoff_s = doubled(INITIAL_BACKOFF_S, state.failures, MAX_BACKOFF_S)
         state.failures += 1
         state.failed_at = now
         state.backoff_until = now + backoff_s
--- a/cowslipmill/leasing/slots.py
+++ b/cowslipmill/leasing/slots.py
@@ -4,6 +4,7 @@
 from cowslipmill.leasing.leaserequest import LeaseResult
 from cowslipmill.leasing.load import Load
 from cowslipmill.leasing.ratelimits import RateBucket
+from cowslipmill.runtime.backoff import doubled
 from cowslipmill.view.server import ServerRecord
 
 # A request whose lease was younger than this when the server reported its load
@@ -264,7 +265,7 @@
         Its last load report is discarded, so that a server that reports its
         load gets requests only after a new report.
         """
-        pause_s = min(MAX_BLOCK_S, FIRST_BLOCK_S * 2**self.consecutive_blocks)
+        pause_s = doubled(FIRST_BLOCK_S, self.consecutive_blocks, MAX_BLOCK_S)
         self.consecutive_blocks += 1
         self.blocked_until = now + pause_s
         self.load = None
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -25,6 +25,7 @@
 from cowslipmill.peers.metrics import SENT_BYTES
 from cowslipmill.peers.session import authenticate_to_server
 from cowslipmill.peers.session import HandshakeFailed
+from cowslipmill.runtime.backoff import doubled
 
 OPEN_TIMEOUT_S = 1.0
 CLOSE_TIMEOUT_S = 0.2
@@ -113,12 +114,14 @@
             ) as error:
                 self.fail_calls(f'{type(error).__name__}: {error}')
             self.failures += 1
-            max_delay_s = min(
-                MAX_RECONNECT_DELAY_S, MIN_RECONNECT_DELAY_S * 2**self.failures
-            )
-            await self.sleep(
-                self.random.uniform(MIN_RECONNECT_DELAY_S, max_delay_s)
-            )
+            await self.sleep(self.choose_delay_s())
+
+    def choose_delay_s(self) -> float:
+        """Returns a random delay before the next attempt, in seconds."""
+        max_delay_s = doubled(
+            MIN_RECONNECT_DELAY_S, self.failures, MAX_RECONNECT_DELAY_S
+        )
+        return self.random.uniform(MIN_RECONNECT_DELAY_S, max_delay_s)
 
     async def run_connection(self, connection: ClientConnection) -> None:
         """Sends queued frames and handles replies until the connection ends.
--- a/cowslipmill/publication/watcher.py
+++ b/cowslipmill/publication/watcher.py
@@ -11,6 +11,7 @@
 from cowslipmill.publication.client import PlatformClient
 from cowslipmill.publication.client import Unavailable
 from cowslipmill.publication.hostlist import HostList
+from cowslipmill.runtime.backoff import doubled
 
 WATCH_MS = 10_000
 MIN_PAUSE_S = 0.1
@@ -161,7 +162,7 @@
         if not (stale or isinstance(result, Unavailable)):
             await self.sleep(MIN_PAUSE_S)
             return 0
-        backoff_s = min(MIN_PAUSE_S * 2**failures, MAX_PAUSE_S)
+        backoff_s = doubled(MIN_PAUSE_S, failures, MAX_PAUSE_S)
         await self.sleep(
             self.random.uniform(MIN_PAUSE_S, backoff_s + MIN_PAUSE_S)
         )
--- a/cowslipmill/view/readschedule.py
+++ b/cowslipmill/view/readschedule.py
@@ -5,6 +5,8 @@
 by. When its updates stop, the next hosts take over in the order of rank.
 """
 
+from cowslipmill.runtime.backoff import doubled
+
 # Age of the last update at which a standby host takes over. Must exceed the
 # longest time that the store may wait for a change.
 TAKEOVER_AGE_S = 0.9
@@ -55,8 +57,9 @@
             due_at += TAKEOVER_AGE_S + delay_s + rank * RANK_SPREAD_S
         if not self.failures:
             return due_at
-        unbounded_s: float = INITIAL_BACKOFF_S * 2.0 ** (self.failures - 1)
-        backoff_s = min(MAX_BACKOFF_S, unbounded_s)
+        backoff_s = doubled(
+            INITIAL_BACKOFF_S, self.failures - 1, MAX_BACKOFF_S
+        )
         return max(due_at, self.failed_at + backoff_s)
 
     def stand_by(self) -> None:
