Count a crash although the server is back after a second

A check after a crash took any response for a sign that the server had gone on, also one on a connection that was opened after nobody had got a response. And a server that stays silent is only checked at the request's deadline: until the check has ended, the next copy of the request was sent to the next server.

Change: paths keep since when a server is known to have run without a restart: connections that outlast each other show it. A server that no host got a response from in the first check counts as crashed unless a connection from before the doubt responds; the server's coordinator, which probes it over such connections, is among the hosts that are asked. Only this host knows of checks in progress.

A message to other hosts got a new last field with a default; an older host's reply counts as before.

--- a/cowslipmill/forwarding/crashtracker.py
+++ b/cowslipmill/forwarding/crashtracker.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import sleep
 from asyncio import Task
+from collections import Counter as Counts
 from collections.abc import Callable
 from collections.abc import Coroutine
 from logging import getLogger
@@ -17,6 +18,7 @@
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.fingerprints import Fingerprints
 from cowslipmill.relays.runningchecks import RunningChecks
+from cowslipmill.suspects.record import CRASH_LIMIT
 from cowslipmill.suspects.suspects import MAX_RETRY_AFTER_MS
 from cowslipmill.suspects.suspects import SuspectRequests
 from cowslipmill.suspects.suspects import Trial
@@ -57,6 +59,8 @@
     Attributes:
         suspects: Crash records by fingerprint.
         checks: Checks in progress whether a server is still running.
+        doubts: Number of checks in progress of servers that were silent, by
+            fingerprint.
         judge_silent_since: Monotonic seconds since when hosts don't reply to
             `AskTrial`, by name.
     """
@@ -82,6 +86,7 @@
         self.running_checks = running_checks
         self.clock = clock
         self.checks: set[Task[None]] = set()
+        self.doubts: Counts[bytes] = Counts()
         self.judge_silent_since: dict[str, float] = {}
         rpc.register(Suspects, self.on_suspects)
         rpc.register(AskTrial, self.on_ask_trial)
@@ -128,9 +133,7 @@
             server: The server.
             request_id: The request's id, for the log.
         """
-        self.start_check(
-            self.check_silent(fingerprints, server, request_id, 0.0)
-        )
+        self.start_check(self.check_doubted(fingerprints, server, request_id))
 
     def start_check(self, check: Coroutine[None, None, None]) -> None:
         """Runs a check in the background."""
@@ -173,6 +176,18 @@
         if not await self.running_checks.is_running(server, doubted_at):
             self.report_crash(fingerprints, incarnation_of(server), request_id)
 
+    async def check_doubted(
+        self, fingerprints: Fingerprints, server: ServerRecord, request_id: str
+    ) -> None:
+        """Reports a crash as `check_silent` does, and counts the check."""
+        self.doubts[fingerprints.exact] += 1
+        try:
+            await self.check_silent(fingerprints, server, request_id, 0.0)
+        finally:
+            self.doubts[fingerprints.exact] -= 1
+            # Drops the entry if no check is left.
+            self.doubts += Counts()
+
     def report_crash(
         self, fingerprints: Fingerprints, server: str, request_id: str
     ) -> None:
@@ -218,9 +233,22 @@
         return any(self.suspects.is_suspect(f) for f in fingerprints)
 
     def hold_s(self, fingerprints: Fingerprints) -> float:
-        """Returns for how long a request is refused, in seconds."""
+        """Returns for how long a request is refused, in seconds.
+
+        It is refused as well while checks in progress may make it suspect.
+        """
         now = self.clock()
-        return max(self.suspects.hold_s(f, now) for f in fingerprints)
+        hold_s = max(self.suspects.hold_s(f, now) for f in fingerprints)
+        if self.may_become_suspect(fingerprints.exact):
+            return max(hold_s, CHECKED_AFTER_S)
+        return hold_s
+
+    def may_become_suspect(self, fingerprint: bytes) -> bool:
+        """Returns whether the checks in progress may make one suspect."""
+        doubts = self.doubts[fingerprint]
+        record = self.suspects.records.get(fingerprint)
+        crashes = 0 if record is None else record.confirmed_crashes
+        return doubts > 0 and CRASH_LIMIT - doubts <= crashes < CRASH_LIMIT
 
     def retry_after_s(self, fingerprints: Fingerprints) -> float:
         """Returns when to tell a refused caller to come back, in seconds.
--- a/cowslipmill/leasing/prober.py
+++ b/cowslipmill/leasing/prober.py
@@ -37,7 +37,9 @@
     """What a check shows of a server.
 
     Attributes:
-        RUNNING: It responded.
+        RUNNING: It responded, and hasn't restarted.
+        RESPONDING: It responded on a new connection; whether it has restarted
+            is not known.
         DOWN: Connections are refused, or another server responded.
         UNCLEAR: A connection was accepted, but the server didn't respond. A
             full server does that, and so does whatever may accept connections
@@ -45,6 +47,7 @@
     """
 
     RUNNING = 'running'
+    RESPONDING = 'responding'
     DOWN = 'down'
     UNCLEAR = 'unclear'
 
@@ -173,7 +176,7 @@
         if not self.header_codec.is_from_server(response):
             return RunState.UNCLEAR
         self.record_statements(record, response)
-        return RunState.RUNNING
+        return RunState.RESPONDING
 
     async def connect(self, address: tuple[str, int]) -> ServerConnection:
         """Returns an open connection for load probes to an address.
--- a/cowslipmill/paths/serverpaths.py
+++ b/cowslipmill/paths/serverpaths.py
@@ -29,16 +29,25 @@
     Attributes:
         lost_at: When the server could not be reached; None if it can be.
         reached_at: When the server last responded.
+        running_since: Since when the server is known to have run without a
+            restart, by connections that outlast each other.
         next_check_at: When the path may be checked again.
         check_interval_s: Time from the next check to the one after it.
     """
 
-    __slots__ = ('check_interval_s', 'lost_at', 'next_check_at', 'reached_at')
+    __slots__ = (
+        'check_interval_s',
+        'lost_at',
+        'next_check_at',
+        'reached_at',
+        'running_since',
+    )
 
     def __init__(self) -> None:
         """Starts as a path that is not lost."""
         self.lost_at: float | None = None
         self.reached_at = float('-inf')
+        self.running_since = float('inf')
         self.next_check_at = float('-inf')
         self.check_interval_s = FIRST_CHECK_INTERVAL_S
 
@@ -91,6 +100,24 @@
         path = self.paths.get(address)
         return path is not None and path.reached_at >= since
 
+    def has_run_through(
+        self, address: Address, since: float, until: float
+    ) -> bool:
+        """Returns whether a server is known to have run without a restart.
+
+        A restart ends all connections, so one that was opened before and
+        responds afterwards shows that there was none.
+
+        Args:
+            address: The server's address.
+            since: Monotonic seconds.
+            until: Monotonic seconds.
+        """
+        path = self.paths.get(address)
+        if path is None:
+            return False
+        return path.running_since <= since and path.reached_at >= until
+
     def record_reached(
         self, address: Address, opened_at: float, now: float
     ) -> None:
@@ -105,6 +132,10 @@
             now: Monotonic seconds.
         """
         path = self.path(address)
+        if opened_at <= path.reached_at:
+            path.running_since = min(path.running_since, opened_at)
+        else:
+            path.running_since = opened_at
         path.reached_at = now
         if opened_at > self.unreached_at:
             if self.isolated:
--- a/cowslipmill/paths/tests/test_serverpaths.py
+++ b/cowslipmill/paths/tests/test_serverpaths.py
@@ -98,3 +98,38 @@
     paths.retain(SERVERS[2:])
     assert_that(paths.isolated, Equals(False))
     assert_that(paths.is_lost(SERVERS[0]), Equals(False))
+
+
+def test_a_server_that_responds_on_a_new_connection_may_have_restarted(
+    paths: ServerPaths,
+) -> None:
+    """Nothing shows that it is still the process of before."""
+    paths.record_reached(SERVERS[0], 1.0, 2.0)
+    paths.record_reached(SERVERS[0], 5.0, 5.1)
+    through = paths.has_run_through(SERVERS[0], 3.0, 5.0)
+    assert_that(through, Equals(False))
+
+
+def test_connections_that_outlast_each_other_show_that_a_server_ran(
+    paths: ServerPaths,
+) -> None:
+    """A restart would have ended the older one before the other's start."""
+    paths.record_reached(SERVERS[0], 1.0, 2.0)
+    paths.record_reached(SERVERS[0], 1.5, 4.0)
+    paths.record_reached(SERVERS[0], 3.5, 6.0)
+    through = paths.has_run_through(SERVERS[0], 1.2, 6.0)
+    assert_that(through, Equals(True))
+    before = paths.has_run_through(SERVERS[0], 0.5, 6.0)
+    assert_that(before, Equals(False))
+    later = paths.has_run_through(SERVERS[0], 1.2, 6.5)
+    assert_that(later, Equals(False))
+
+
+def test_nothing_is_known_of_a_server_before_its_first_response(
+    paths: ServerPaths,
+) -> None:
+    """A host that has just started can vouch for none."""
+    paths.record_unreached(SERVERS[0], 'timeout', 1.0)
+    for address in SERVERS[:2]:
+        through = paths.has_run_through(address, 0.0, 1.0)
+        assert_that(through, Equals(False))
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -126,7 +126,9 @@
     Attributes:
         running: Whether it is; None if the host can't tell.
         unclear: Whether it accepts connections, but doesn't respond.
+        proved: Whether it is known not to have restarted since the doubt.
     """
 
     running: bool | None
     unclear: bool = False
+    proved: bool = False
--- a/cowslipmill/relays/runningchecks.py
+++ b/cowslipmill/relays/runningchecks.py
@@ -65,7 +65,9 @@
         """Returns whether a server is running, in the same incarnation.
 
         One that accepts connections isn't, unless it responds to some host.
-        True if neither this host nor those that it asks can tell.
+        One that has not responded to any host may have restarted when it
+        does: then only a connection that was open before shows that it has
+        not. True if neither this host nor those that it asks can tell.
 
         Args:
             server: The server.
@@ -79,6 +81,8 @@
                 states += await self.ask_others(server, doubted_at)
             if RunState.RUNNING in states:
                 return True
+            if RunState.RESPONDING in states:
+                return number == 0
             if RunState.UNCLEAR not in states:
                 return RunState.DOWN not in states
         return False
@@ -86,7 +90,11 @@
     async def ask_others(
         self, server: ServerRecord, doubted_at: float
     ) -> list[RunState | None]:
-        """Returns what some other hosts find; None for one that can't tell."""
+        """Returns what some other hosts find; None for one that can't tell.
+
+        The server's coordinator is among them: it probes the server's load
+        over connections that are open for long.
+        """
         now = self.clock()
         message = AskRunning(
             server.name, server.started_ms, round(now - doubted_at, 4)
@@ -98,6 +106,10 @@
             and now >= state.backoff_until
         ]
         self.random.shuffle(members)
+        coordinators = self.member_list.ranked_members(
+            server.service, server.failure_domain, now
+        )[:1]
+        members.sort(key=lambda member: member not in coordinators)
         replies = await gather(
             *(
                 self.rpc.call(member.address, message, REPLY_TIMEOUT_S)
@@ -114,7 +126,8 @@
     ) -> RunState | None:
         """Returns whether a server is running, by what this host sees.
 
-        That is a response since the doubt, or a new connection.
+        That is a response since the doubt on an older connection, or on a
+        new one.
 
         Returns:
             None if this host can't tell, since it reaches no server or may
@@ -123,11 +136,13 @@
         known = self.view.servers.get(server.name)
         if known is not None and known.record.started_ms != server.started_ms:
             return RunState.DOWN
-        if self.prober.paths.was_reached_since(
-            server.address, doubted_at + RESPONSE_DELAY_S
-        ):
+        paths = self.prober.paths
+        confirmed_at = doubted_at + RESPONSE_DELAY_S
+        if paths.has_run_through(server.address, doubted_at, confirmed_at):
             return RunState.RUNNING
-        if self.prober.paths.isolated:
+        if paths.was_reached_since(server.address, confirmed_at):
+            return RunState.RESPONDING
+        if paths.isolated:
             return None
         if self.prober.pauses.is_paused(server, self.clock()):
             return None
@@ -135,7 +150,7 @@
         path = '/' if service is None else service.health_path
         state = await self.prober.check(server, path)
         if state is RunState.DOWN:
-            return None if self.prober.paths.isolated else state
+            return None if paths.isolated else state
         return state
 
     async def on_ask_running(
@@ -150,7 +165,9 @@
         )
         if state is None or state is RunState.UNCLEAR:
             return Running(None, unclear=state is RunState.UNCLEAR)
-        return Running(state is RunState.RUNNING)
+        return Running(
+            state is not RunState.DOWN, proved=state is RunState.RUNNING
+        )
 
 
 def state_of(reply: Running) -> RunState | None:
@@ -159,4 +176,6 @@
         return RunState.UNCLEAR
     if reply.running is None:
         return None
-    return RunState.RUNNING if reply.running else RunState.DOWN
+    if not reply.running:
+        return RunState.DOWN
+    return RunState.RUNNING if reply.proved else RunState.RESPONDING
--- a/cowslipmill/suspects/record.py
+++ b/cowslipmill/suspects/record.py
@@ -84,6 +84,11 @@
         """Number of crashes, including dismissed ones."""
         return len(self.crash_ids)
 
+    @property
+    def confirmed_crashes(self) -> int:
+        """Number of crashes that weren't dismissed."""
+        return sum(not dismissed for dismissed in self.crash_ids.values())
+
     @property
     def suspect(self) -> bool:
         """Whether the request has reached the crash limit."""
@@ -107,8 +112,7 @@
 
     def backoff_s(self) -> float:
         """Returns how long after its last event the request is refused."""
-        confirmed = sum(not dismissed for dismissed in self.crash_ids.values())
-        if confirmed < CRASH_LIMIT:
+        if self.confirmed_crashes < CRASH_LIMIT:
             doublings = self.crashes - CRASH_LIMIT
             backoff_s: float = FIRST_SHORT_BACKOFF_S * 2**doublings
             return min(MAX_SHORT_BACKOFF_S, backoff_s)
