Leave malformed entries of the store out instead of ending the host

Callers would see: all hosts of a fleet end one after the other, again after each restart, since each reads the same entry.

Cause: values that the JSON parser takes and that fail later by an error which nothing catches, in the task that reads the store: a port of other digits than ASCII (ValueError), a number of 400 digits (OverflowError), 100,000 nested lists (RecursionError), a lone surrogate (UnicodeEncodeError when other hosts are told), text that isn't ASCII in place of base64. A port of 99999 and an address that is no IP number were taken, and a server's name could hold line ends and would have split the header that names it.

Change: fields are checked where they are decoded; such an entry is left out, logged with field and reason, and the others hold. A caller's timeout of thousands of digits, which closed its connection without a response, is ignored.

--- a/cowslipmill/platform/configuration.py
+++ b/cowslipmill/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.fields import JsonObject
+from cowslipmill.platform.fields import MAX_INTEGER
 from cowslipmill.platform.fields import read_integer
 from cowslipmill.platform.fields import read_number
 from cowslipmill.platform.fields import read_object
@@ -45,13 +46,17 @@
     """Returns the version, which is written in hexadecimal digits.
 
     Raises:
-        InvalidField: If the field is missing or no hexadecimal number.
+        InvalidField: If the field is missing, no hexadecimal number, negative
+            or above `MAX_INTEGER`.
     """
     text = read_string(fields, 'Version')
     try:
-        return int(text, VERSION_BASE)
+        version = int(text, VERSION_BASE)
     except ValueError as error:
         raise InvalidField('Version', f'{text!r} is not a version') from error
+    if not 0 <= version <= MAX_INTEGER:
+        raise InvalidField('Version', f'{text!r} is out of range')
+    return version
 
 
 def decode_service(fields: JsonObject) -> Service:
--- a/cowslipmill/platform/fields.py
+++ b/cowslipmill/platform/fields.py
@@ -1,12 +1,19 @@
 """Typed, validated access to the fields of JSON objects."""
 
 from json import loads
+from socket import AF_INET
+from socket import inet_pton
 from typing import Any
 
 from cowslipmill.platform.errors import InvalidField
 
 JsonObject = dict[str, Any]
 
+# Limits of what messages between hosts can carry.
+MAX_INTEGER = 2**63 - 1
+MAX_NUMBER = float(2**53)
+MAX_PORT = 65_535
+
 
 def read_object(raw: bytes, name: str) -> JsonObject:
     """Returns the JSON object that bytes encode.
@@ -20,7 +27,7 @@
     """
     try:
         value = loads(raw)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidField(name, 'cannot be read') from error
     if not isinstance(value, dict):
         raise InvalidField(name, 'not an object')
@@ -36,20 +43,36 @@
     value = fields.get(name)
     if not isinstance(value, str) or not value:
         raise InvalidField(name, 'not a text')
+    require_encodable(value, name)
     return value
 
 
+def require_encodable(text: str, name: str) -> None:
+    """Checks that a text can be sent to other hosts.
+
+    Raises:
+        InvalidField: If it holds a lone surrogate, which has no encoding.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise InvalidField(name, 'has no encoding') from error
+
+
 def read_integer(fields: JsonObject, name: str, *, minimum: int = 0) -> int:
     """Returns an integer.
 
     Raises:
-        InvalidField: If the field is missing, no integer or below `minimum`.
+        InvalidField: If the field is missing, no integer, below `minimum` or
+            above `MAX_INTEGER`.
     """
     value = fields.get(name)
     if isinstance(value, bool) or not isinstance(value, int):
         raise InvalidField(name, 'not a whole number')
     if value < minimum:
         raise InvalidField(name, f'below {minimum}')
+    if value > MAX_INTEGER:
+        raise InvalidField(name, 'too large')
     return value
 
 
@@ -59,13 +82,16 @@
     """Returns a number that isn't negative, or the default if missing.
 
     Raises:
-        InvalidField: If the field is present and isn't such a number.
+        InvalidField: If the field is present and isn't such a number, or is
+            above `MAX_NUMBER`.
     """
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise InvalidField(name, 'not a number')
     if value < 0:
         raise InvalidField(name, 'negative')
+    if not value <= MAX_NUMBER:
+        raise InvalidField(name, 'too large')
     return float(value)
 
 
@@ -95,6 +121,18 @@
         InvalidField: If the text has another form.
     """
     ip_address, _, port = text.rpartition(':')
-    if not ip_address or not port.isdigit():
+    valid = port.isascii() and port.isdigit() and len(port) <= 5
+    if not valid or not is_ip_address(ip_address):
         raise InvalidField(name, f'{text!r} is not IP:PORT')
+    if not 0 < int(port) <= MAX_PORT:
+        raise InvalidField(name, f'{port} is not a port')
     return ip_address, int(port)
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IPv4 address."""
+    try:
+        inet_pton(AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -31,6 +31,8 @@
 
 LOG = getLogger(__name__)
 
+# A timeout of more digits is no time in milliseconds.
+MAX_TIMEOUT_DIGITS = 12
 # Longest time for which a server's Retry-After is taken.
 MAX_PAUSE_S = 86_400.0
 
@@ -63,11 +65,12 @@
     def parse_caller_headers(self, request: Request) -> CallerHeaders:
         """Returns the values that a caller sent with its request.
 
-        A timeout that isn't a whole number of milliseconds is ignored.
+        A timeout that isn't a whole number of milliseconds is ignored, and
+        so is one of more than `MAX_TIMEOUT_DIGITS` digits.
         """
         timeout_s = None
         text = request.header(DEADLINE)
-        if text.isdigit():
+        if text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS:
             timeout_s = int(text) / 1000
         request_id = request.header(REQUEST_ID).decode('latin-1')
         return CallerHeaders(request_id, timeout_s)
--- a/cowslipmill/platform/serverentry.py
+++ b/cowslipmill/platform/serverentry.py
@@ -21,6 +21,9 @@
     Raises:
         InvalidField: If a field is missing or invalid.
     """
+    if not name or not name.isascii() or not name.isprintable():
+        # The name is sent to the server in a header.
+        raise InvalidField('Key', f'{name!r} is not a name')
     fields = read_object(raw, 'server')
     state = read_string(fields, 'State')
     if state not in LEAVING_BY_STATE:
--- a/cowslipmill/platform/storeapi.py
+++ b/cowslipmill/platform/storeapi.py
@@ -1,7 +1,6 @@
 """Builds requests to the platform's store and parses the responses."""
 
 from base64 import b64decode
-from binascii import Error as Base64Error
 from urllib.parse import quote
 
 from cowslipmill.http1.message import Request
@@ -13,6 +12,7 @@
 from cowslipmill.platform.fields import read_object
 from cowslipmill.platform.fields import read_objects
 from cowslipmill.platform.fields import read_string
+from cowslipmill.platform.fields import require_encodable
 from cowslipmill.platform.headers import STORE_ERA
 from cowslipmill.platform.serverentry import decode_server
 from cowslipmill.view.events import ConfigurationUpdated
@@ -187,6 +187,7 @@
     Raises:
         InvalidField: If a field is missing or invalid.
     """
+    require_encodable(key, 'Key')
     revision = read_revision(item, 'Revision', era)
     removed = item.get('Removed') is True
     if key == CONFIGURATION_KEY and not removed:
@@ -207,5 +208,5 @@
     """
     try:
         return b64decode(read_string(item, 'Value'), validate=True)
-    except Base64Error as error:
+    except ValueError as error:
         raise InvalidField('Value', 'not base64') from error
--- a/cowslipmill/platform/tests/test_headercodec.py
+++ b/cowslipmill/platform/tests/test_headercodec.py
@@ -142,3 +142,11 @@
     response = Response(503, [(b'retry-after', value)], b'')
     pause_s = HEADER_CODEC.pause_s(response, BEFORE_DATE_S)
     assert pause_s is None or 0.0 < pause_s <= MAX_PAUSE_S
+
+
+@pytest.mark.parametrize('text', [b'9' * 5_000, b'1' * 400, b'1' * 13])
+def test_a_timeout_of_many_digits_is_ignored(text: bytes) -> None:
+    """It must not fail the request."""
+    request = Request(b'GET', b'/', [(b'x-deadline-ms', text)], b'')
+    headers = PlatformHeaderCodec().parse_caller_headers(request)
+    assert_that(headers.timeout_s, Equals(None))
