Go on after a malformed message or an unexpected error between hosts

Callers would see: all hosts of the fleet end within a second. One message that announces a host with port 70000 ended every host that it reached, and each of them told the others first.

Cause: a member's address wasn't checked, and opening a link to it raised ValueError, UnicodeError or OverflowError, which the link's task didn't expect.

Change: addresses of hosts and servers are checked when a message is decoded.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -26,6 +26,8 @@
 from cowslipmill.fleet.messages import Suspects
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.peers.link import Unreachable
+from cowslipmill.runtime.backgrounderrors import logged_errors
+from cowslipmill.runtime.backgrounderrors import run_logged
 from cowslipmill.suspects.suspects import SuspectRequests
 from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ConfigurationUpdated
@@ -125,7 +127,11 @@
         """Asks all seeds for suspect requests, since any may be gone."""
         own = self.member_list.own.address
         await gather(
-            *(self.fetch_suspects(seed) for seed in self.seeds if seed != own)
+            *(
+                run_logged('suspects', self.fetch_suspects(seed))
+                for seed in self.seeds
+                if seed != own
+            )
         )
 
     @Service.task
@@ -143,7 +149,8 @@
                 # More than two other hosts for each seed.
                 enough = len(self.member_list.states) > 2 * len(seeds) + 1
                 if seed not in self.contacted and not enough:
-                    await self.send_hello(seed)
+                    with logged_errors('greeting'):
+                        await self.send_hello(seed)
             await self.sleep(SEED_INTERVAL_S)
 
     @Service.task
@@ -153,15 +160,24 @@
         while not self.should_stop:
             await self.sleep(COMPARE_INTERVAL_S * self.random.uniform(0.8, 1))
             round_number += 1
-            member = self.choose_peer(round_number)
-            if member is None:
-                continue
-            message = Compare(
-                self.member_list.digest(),
-                self.member_list.own,
-                self.suspects.digest(),
-            )
-            await self.exchange_members(member.address, member.name, message)
+            with logged_errors('comparison'):
+                await self.compare_once(round_number)
+
+    async def compare_once(self, round_number: int) -> None:
+        """Compares the member list with one random host, if there is one.
+
+        Args:
+            round_number: Number of the comparison.
+        """
+        member = self.choose_peer(round_number)
+        if member is None:
+            return
+        message = Compare(
+            self.member_list.digest(),
+            self.member_list.own,
+            self.suspects.digest(),
+        )
+        await self.exchange_members(member.address, member.name, message)
 
     def choose_peer(self, round_number: int) -> Member | None:
         """Returns the random host for one comparison; None if there is none.
@@ -232,7 +248,13 @@
             )
             domain = member.failure_domain
             if domain == self.member_list.own.failure_domain:
-                self.add_future(self.send_hello(member.address))
+                work = self.send_hello(member.address)
+                self.add_future(run_logged('greeting', work))
+
+    def request_snapshot(self, address: Address) -> None:
+        """Starts to fetch another host's view in the background."""
+        work = self.fetch_snapshot(address)
+        self.add_future(run_logged('snapshot', work))
 
     async def fetch_snapshot(self, address: Address) -> None:
         """Asks another host for the part of its view that this one lacks.
@@ -392,7 +414,7 @@
         if has_gap:
             state = self.member_list.states.get(sender)
             if state is not None:
-                self.add_future(self.fetch_snapshot(state.member.address))
+                self.request_snapshot(state.member.address)
 
     def decode_events(self, message: News) -> tuple[list[StoreEvent], bool]:
         """Converts an update to events.
--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -14,6 +14,7 @@
 from cowslipmill.relays.messages import RelayRequest
 from cowslipmill.relays.messages import RelayResponse
 from cowslipmill.relays.messages import Running
+from cowslipmill.runtime.address import Address
 from cowslipmill.suspects.record import Summary
 from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ServerRemoved
@@ -34,7 +35,7 @@
 
     name: str
     failure_domain: str
-    address: tuple[str, int]
+    address: Address
     started_ms: int
 
 
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -40,6 +40,7 @@
 from cowslipmill.relays.relayclient import RelayClient
 from cowslipmill.relays.relayserver import RelayServer
 from cowslipmill.relays.runningchecks import RunningChecks
+from cowslipmill.runtime.backgrounderrors import logged_errors
 from cowslipmill.runtime.program import ListenError
 from cowslipmill.view.configuration import Configuration
 from cowslipmill.view.events import ConfigurationUpdated
@@ -47,6 +48,7 @@
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreEvent
 from cowslipmill.view.events import StoreUnavailable
+from cowslipmill.view.reader import ReadResult
 from cowslipmill.view.reader import StoreApi
 from cowslipmill.view.reader import StoreReader
 from cowslipmill.view.readschedule import ReadSchedule
@@ -344,12 +346,16 @@
                 await sleep(min(next_read_at - now, HOUSEKEEPING_INTERVAL_S))
                 continue
             self.read_schedule.start_read()
-            read_result = await self.store_reader.read()
+            read_result: ReadResult | StoreUnavailable
+            read_result = StoreUnavailable('internal error')
+            with logged_errors('store read'):
+                read_result = await self.store_reader.read()
             failed = isinstance(read_result, StoreUnavailable)
             self.read_schedule.record_result(failed=failed, now=self.clock())
             if not isinstance(read_result, StoreUnavailable):
-                self.on_view_events(read_result.applied, 'store')
-                self.gossip.publish(read_result)
+                with logged_errors('store update'):
+                    self.on_view_events(read_result.applied, 'store')
+                    self.gossip.publish(read_result)
 
     async def await_peer_view(self) -> None:
         """Waits a limited time for the view of another host.
@@ -395,15 +401,23 @@
         """Enforces timeouts of connections and drops missing servers."""
         while not self.should_stop:
             await sleep(HOUSEKEEPING_INTERVAL_S)
-            now = self.clock()
-            self.callers.enforce_timeouts(now)
-            self.pool.close_expired(now)
-            self.paths.retain(
-                {known.record.address for known in self.view.servers.values()}
-            )
-            self.lease_manager.pauses.drop_ended(now)
-            for name in self.view.drop_missing(now):
-                LOG.info('server gone', extra={'server': name})
+            with logged_errors('housekeeping'):
+                self.clean_up(self.clock())
+
+    def clean_up(self, now: float) -> None:
+        """Enforces timeouts and drops missing servers.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self.callers.enforce_timeouts(now)
+        self.pool.close_expired(now)
+        self.paths.retain(
+            {known.record.address for known in self.view.servers.values()}
+        )
+        self.lease_manager.pauses.drop_ended(now)
+        for name in self.view.drop_missing(now):
+            LOG.info('server gone', extra={'server': name})
 
     def on_view_events(self, events: list[StoreEvent], source: str) -> None:
         """Logs changes of the view and applies them to open connections.
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -25,6 +25,7 @@
 from cowslipmill.peers.metrics import SENT_BYTES
 from cowslipmill.peers.session import authenticate_to_server
 from cowslipmill.peers.session import HandshakeFailed
+from cowslipmill.runtime.backgrounderrors import logged_errors
 from cowslipmill.runtime.backoff import doubled
 
 OPEN_TIMEOUT_S = 1.0
@@ -94,28 +95,32 @@
     async def keep_connected(self) -> None:
         """Reconnects with exponential backoff until the link stops."""
         while not self.should_stop:
-            try:
-                async with connect(
-                    f'ws://{self.address}',
-                    compression=None,
-                    max_size=self.codec.max_bytes,
-                    open_timeout=OPEN_TIMEOUT_S,
-                    close_timeout=CLOSE_TIMEOUT_S,
-                ) as connection:
-                    await authenticate_to_server(
-                        connection, self.name, self.keys
-                    )
-                    await self.run_connection(connection)
-            except (
-                OSError,
-                TimeoutError,
-                WebSocketException,
-                HandshakeFailed,
-            ) as error:
-                self.fail_calls(f'{type(error).__name__}: {error}')
+            with logged_errors('peer link'):
+                await self.connect_once()
+            self.fail_calls('not connected')
             self.failures += 1
             await self.sleep(self.choose_delay_s())
 
+    async def connect_once(self) -> None:
+        """Connects and sends messages until the connection ends."""
+        try:
+            async with connect(
+                f'ws://{self.address}',
+                compression=None,
+                max_size=self.codec.max_bytes,
+                open_timeout=OPEN_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+            ) as connection:
+                await authenticate_to_server(connection, self.name, self.keys)
+                await self.run_connection(connection)
+        except (
+            OSError,
+            TimeoutError,
+            WebSocketException,
+            HandshakeFailed,
+        ) as error:
+            self.fail_calls(f'{type(error).__name__}: {error}')
+
     def choose_delay_s(self) -> float:
         """Returns a random delay before the next attempt, in seconds."""
         max_delay_s = doubled(
--- a/cowslipmill/peers/links.py
+++ b/cowslipmill/peers/links.py
@@ -9,6 +9,7 @@
 from cowslipmill.peers.link import encode_notification
 from cowslipmill.peers.link import Link
 from cowslipmill.peers.link import Unreachable
+from cowslipmill.runtime.backgrounderrors import run_logged
 
 MAX_LINKS = 1024
 
@@ -59,7 +60,8 @@
     def open(self, address: str) -> None:
         """Starts to open the link to a peer before it is needed."""
         if address not in self.links:
-            self.add_future(self.get_or_open(address))
+            work = self.get_or_open(address)
+            self.add_future(run_logged('peer link', work))
 
     def send(self, address: str, message: Any) -> bool:
         """Queues a notification to a peer.
@@ -93,7 +95,8 @@
         link = self.links.get(address)
         if link is not None:
             return link.enqueue(raw)
-        self.add_future(self.open_and_send(address, raw))
+        work = self.open_and_send(address, raw)
+        self.add_future(run_logged('peer link', work))
         return True
 
     async def open_and_send(self, address: str, raw: bytes) -> None:
--- a/cowslipmill/view/server.py
+++ b/cowslipmill/view/server.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from cowslipmill.runtime.address import Address
+
 
 class ServerRecord(Struct, frozen=True, array_like=True):
     """The content of a server's entry in the store.
@@ -21,7 +23,7 @@
     name: str
     started_ms: int
     service: str
-    address: tuple[str, int]
+    address: Address
     failure_domain: str
     slots: int
     leaving: bool
