Skip only the messages that a host can't read, not those beside them

Callers would see: while machines are replaced by a newer build one after the other, updates of the store, leaving servers and leases that an older host got in one batch with a message that it doesn't know are lost, and the newer host waits for the whole timeout of each call that the older one doesn't know.

Cause: a batch of frames was decoded as a whole against the union of the types known, and dropped as malformed if one frame didn't fit.

Change: if a batch doesn't decode as a whole, its frames are decoded one by one. One that can't be read is counted (reason `unreadable`) and holds `Unreadable` in place of its message; a call is replied to without a result.

--- a/cowslipmill/peers/codec.py
+++ b/cowslipmill/peers/codec.py
@@ -64,11 +64,24 @@
 
     def decode(self, raw: bytes) -> M | Malformed:
         """Returns the decoded message, or `Malformed` with the reason."""
+        value = self.parse(raw)
+        if isinstance(value, Malformed):
+            return value
+        return self.convert(value)
+
+    def parse(self, raw: bytes) -> Any:
+        """Returns what bytes encode, in builtin types, or `Malformed`."""
         if len(raw) > self.max_bytes:
             return Malformed(f'{len(raw)} bytes exceed {self.max_bytes}')
         try:
-            value = loads(raw)
+            return loads(raw)
+        except (CBORDecodeError, ValueError) as error:
+            return Malformed(str(error))
+
+    def convert(self, value: Any) -> M | Malformed:
+        """Returns the message of builtin types, or `Malformed`."""
+        try:
             message: M = convert(value, self.union, builtin_types=(bytes,))
-        except (CBORDecodeError, ValidationError, ValueError) as error:
+        except (ValidationError, ValueError) as error:
             return Malformed(str(error))
         return message
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -20,6 +20,7 @@
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import FrameKind
+from cowslipmill.peers.frame import Unreadable
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import SENT_BYTES
@@ -174,8 +175,12 @@
             return
         for frame in frames:
             future = self.pending_calls.pop(frame.call_id, None)
+            message = frame.message
+            if isinstance(message, Unreadable):
+                DROPPED_MESSAGES.labels('unreadable').inc()
+                message = None
             if frame.kind is FrameKind.REPLY and future is not None:
-                resolve_call(future, frame.message)
+                resolve_call(future, message)
 
     def drop_queued(self) -> None:
         """Drops the frames still queued when the connection ended."""
--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -19,6 +19,7 @@
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import FrameKind
+from cowslipmill.peers.frame import Unreadable
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import REFUSED_CONNECTIONS
@@ -176,8 +177,15 @@
 
         A notification is handled before the next frame is read. A call is
         handled in a task of its own; at most `MAX_OPEN_CALLS` per connection
-        run at the same time, further calls are dropped.
+        run at the same time, further calls are dropped. A call that can't be
+        decoded is replied to without a result, so that the peer doesn't wait.
         """
+        if isinstance(frame.message, Unreadable):
+            DROPPED_MESSAGES.labels('unreadable').inc()
+            if frame.kind is FrameKind.CALL:
+                reply = Frame[Any](FrameKind.REPLY, frame.call_id, None)
+                replies.put_nowait(self.codec.encode(reply))
+            return
         if frame.kind is FrameKind.NOTIFICATION:
             await self.run_handler(frame.message, peer_name)
             return
--- a/cowslipmill/peers/tests/test_links.py
+++ b/cowslipmill/peers/tests/test_links.py
@@ -149,3 +149,22 @@
         await connection.recv()
         await connection.send(b'\x00')
         await connection.wait_closed()
+
+
+class Novelty(Struct, frozen=True, tag='novelty'):
+    """A call that only the client knows."""
+
+
+@pytest.mark.asyncio
+async def test_a_call_that_the_peer_does_not_know_returns_at_once(
+    server: PeerServer,
+) -> None:
+    """The older peer has no reply to it, and goes on with other calls."""
+    codec = make_frame_codec((Ping, Pong, Novelty), max_bytes=4096)
+    async with PeerLinks('entry-1', (KEY,), codec, Random(1)) as links:
+        replies = await gather(
+            links.call(ADDRESS, Novelty(), 60.0),
+            links.call(ADDRESS, Ping(7), 5.0),
+        )
+    expected = Unreachable('the peer returned no result', sent=True)
+    assert_that(replies, Equals([expected, Pong(7, 'entry-1')]))
