Play the build in production and this one side by side in the soak

Callers would see what a mixed fleet does wrong while machines are replaced; nothing played that.

Change: `production` in the deploy file names the landed commit.

--- a/cowslipmill/launch/launcher.py
+++ b/cowslipmill/launch/launcher.py
@@ -42,13 +42,22 @@
         self.stop_all()
         self.temporary_directory.cleanup()
 
-    def start(self, program: str, name: str, settings: Struct) -> None:
+    def start(
+        self,
+        program: str,
+        name: str,
+        settings: Struct,
+        *,
+        sources: Path | None = None,
+    ) -> None:
         """Starts a program with a settings file of its own.
 
         Args:
             program: Name of the subpackage of `cowslipmill` to run.
             name: Process name, used in file names and by other methods.
             settings: Settings of the program, written as JSON.
+            sources: Directory with the package of another build; None for
+                this one.
         """
         path = self.directory / f'{name}.json'
         path.write_bytes(json.encode(settings))
@@ -59,7 +68,10 @@
             f'--settings={path}',
         ]
         with (self.directory / f'{name}.log').open('ab') as log:
-            self.processes[name] = Popen(command, stdout=log, stderr=log)
+            # The working directory comes first on the module search path.
+            self.processes[name] = Popen(
+                command, stdout=log, stderr=log, cwd=sources
+            )
 
     def send_signal(self, name: str, signal_number: int) -> None:
         """Sends a signal to one process."""
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -6,9 +6,12 @@
 from asyncio import run as run_loop
 from asyncio import sleep
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from absl import flags
 
+from cowslipmill.launch.checkout import export_sources
+from cowslipmill.launch.checkout import production_commit
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.runtime.program import run_program
 from cowslipmill.soak.plan import draw_link_cuts
@@ -37,6 +40,12 @@
 flags.DEFINE_float('seconds', 8.0, 'Time with faults.')
 flags.DEFINE_integer('hosts', 4, 'Host processes.')
 flags.DEFINE_integer('callers', 8, 'Callers.')
+flags.DEFINE_bool(
+    'upgrade',
+    False,
+    'Start the hosts on the build in production that the deploy file names,'
+    ' replace them one after the other by this one, and back again.',
+)
 flags.DEFINE_string('logs', '', 'Folder that keeps the logs of failed seeds.')
 
 
@@ -61,13 +70,27 @@
 
 
 async def soak(
-    seed: int, seconds: float, *, hosts: int = 4, callers: int = 8
+    seed: int,
+    seconds: float,
+    *,
+    hosts: int = 4,
+    callers: int = 8,
+    production: Path | None = None,
 ) -> Outcome:
-    """Plays one seed and returns what came of it."""
+    """Plays one seed and returns what came of it.
+
+    Args:
+        seed: The seed.
+        seconds: Length of the time with faults.
+        hosts: Number of host processes.
+        callers: Number of callers.
+        production: Sources of a build that the hosts run at first; they are
+            replaced one after the other by this build, and back again.
+    """
     outcome = Outcome()
     loop = get_running_loop()
     with Launcher() as launcher:
-        world = World(launcher, seed)
+        world = World(launcher, seed, production)
         try:
             await world.start(hosts, 6)
             world.spawn(world.keep_running())
@@ -76,6 +99,8 @@
             await sleep(WARM_UP_S)
             world.limit_server(seed)
             crasher = create_task(world.crash_servers(seed))
+            if production is not None:
+                world.spawn(world.replace_builds(seconds))
             await play(
                 world,
                 draw_plan(seed, seconds),
@@ -145,6 +170,19 @@
 
 def main(arguments: list[str]) -> int:
     """Soaks real host processes under seeded faults."""
+    with TemporaryDirectory(prefix='cowslipmill-') as directory:
+        production = None
+        if FLAGS.upgrade:
+            production = export_sources(production_commit(), Path(directory))
+        return soak_seeds(production)
+
+
+def soak_seeds(production: Path | None) -> int:
+    """Plays the seeds that the flags name and returns the exit status.
+
+    Args:
+        production: See `soak`.
+    """
     failed = 0
     for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.seeds):
         outcome = run_loop(
@@ -153,6 +191,7 @@
                 FLAGS.seconds,
                 hosts=FLAGS.hosts,
                 callers=FLAGS.callers,
+                production=production,
             )
         )
         share = round(outcome.served_share, 3)
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -6,6 +6,7 @@
 from asyncio import sleep
 from asyncio import Task
 from collections.abc import Coroutine
+from pathlib import Path
 from random import Random
 from signal import SIGCONT
 from signal import SIGHUP
@@ -83,6 +84,8 @@
         peer: Proxy through which other hosts reach it.
         store: Proxy through which it reaches the store.
         stopping: Whether it was asked to stop.
+        sources: Sources of the build that its next process runs; None for
+            this one.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self.peer = peer
         self.store = store
         self.stopping = False
+        self.sources: Path | None = None
 
 
 class World:
@@ -106,11 +110,16 @@
         links: Proxies before the servers, by server name.
         ledger: What callers saw.
         version: The last configuration published.
+        production: Sources of the build that hosts run at first; None for
+            this one.
     """
 
-    def __init__(self, launcher: Launcher, seed: int) -> None:
+    def __init__(
+        self, launcher: Launcher, seed: int, production: Path | None = None
+    ) -> None:
         """Starts nothing yet."""
         self.launcher = launcher
+        self.production = production
         self.random = Random(seed)
         self.network = Network.for_this_process()
         self.store = StandinStore()
@@ -204,8 +213,15 @@
             server_source_ip=callers[0],
         )
         host = HostProcess(settings, peer, store)
+        host.sources = self.production
         self.hosts.append(host)
-        self.launcher.start('host', host.name, settings)
+        self.start_process(host)
+
+    def start_process(self, host: HostProcess) -> None:
+        """Starts a host's process, on the build that it is to run."""
+        self.launcher.start(
+            'host', host.name, host.settings, sources=host.sources
+        )
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Does something beside the rest."""
@@ -235,7 +251,21 @@
                 picked = self.random.sample(others, min(3, len(others)))
                 seeds = tuple(other.peer.address for other in picked)
                 host.settings = replace(host.settings, seeds=seeds)
-                self.launcher.start('host', host.name, host.settings)
+                self.start_process(host)
+
+    async def replace_builds(self, seconds: float) -> None:
+        """Replaces all hosts by this build, and by the other one again.
+
+        Args:
+            seconds: Time that both take together.
+        """
+        pause_s = seconds / (2 * len(self.hosts))
+        for sources in (None, self.production):
+            for host in self.hosts:
+                host.sources = sources
+                step = Step(0.0, Fault.STOP_HOST, 0.0, 0)
+                await self.do_to_host(step, host)
+                await sleep(pause_s)
 
     async def do(self, step: Step) -> None:
         """Does one fault and ends it after its time."""
