Answer requests that are arriving, and flush responses, before a host stops

Callers saw: a connection that ends without an answer while a host stops as planned, if their request was still on its way 2.5 s after SIGTERM, and a response that breaks off if they take it slowly.

Cause: a stopping host counted only whole requests as being under way. It ended while a body was arriving, and while a response was still in its buffer, since the process ends with its event loop.

Change: `CallerConnection.busy` counts both. The time to the kill bounds the wait as before, and a request that is ignored doesn't count.

Evidence: test_a_request_that_arrives_slowly_is_answered_during_a_stop on real processes failed before (an empty answer) and passes; three tests of the connection, two of which fail on the definition of before.

--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import get_running_loop
+from asyncio import open_connection as open_stream
 from asyncio import sleep
 from asyncio import Task
 from collections.abc import AsyncIterator
@@ -21,6 +22,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
+from cowslipmill.host.host import READINESS_NOTICE_S
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.host.tests.conftest import DOMAINS
 from cowslipmill.host.tests.conftest import HOST_HEADER
@@ -280,3 +282,26 @@
     """SIGHUP ends a process that has no handler for it yet."""
     command = [sys.executable, '-c', SIGNAL_WHILE_LOADING, '--version']
     assert_that(subprocess.run(command, check=False).returncode, Equals(0))
+
+
+async def test_a_request_that_arrives_slowly_is_answered_during_a_stop(
+    processes: HostProcesses,
+) -> None:
+    """Its caller began to send it before the host stopped."""
+    address = processes.settings[0].callers_listen
+    reader, writer = await open_stream(*address)
+    head = (
+        f'POST /book/slow HTTP/1.1\r\nhost: {HOST_HEADER}\r\n'
+        'x-request-id: slow\r\nx-deadline-ms: 600\r\n'
+        'content-length: 4\r\n\r\nbo'
+    )
+    writer.write(head.encode())
+    await sleep(0.2)
+    stopping = create_task(processes.terminate_then_kill(0))
+    await processes.wait_until_logged(0, '"stopping"', 1)
+    await sleep(READINESS_NOTICE_S + 0.3)
+    writer.write(b'dy')
+    answer = await reader.read()
+    writer.close()
+    assert_that(await stopping, Equals(0))
+    assert_that(answer[:9], Equals(b'HTTP/1.1 '))
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -105,8 +105,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being handled or waits to be handled."""
-        return any(c.task or c.pending for c in self.connections)
+        """Whether a request or a response is on its way on a connection."""
+        return any(connection.busy for connection in self.connections)
 
 
 class CallerConnection(Protocol):
@@ -153,6 +153,19 @@
         """Whether no request is being received or handled."""
         return not self.receiving and not self.pending and self.task is None
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request or a response is on its way.
+
+        A request that has been received in part counts, unless it is ignored,
+        and so does a response that the caller has not taken yet.
+        """
+        if self.task is not None or self.pending:
+            return True
+        if self.receiving and not self.input_ended:
+            return True
+        return bool(self.transport and self.transport.get_write_buffer_size())
+
     def connection_made(self, transport: BaseTransport) -> None:
         """Registers the connection and disables Nagle's algorithm."""
         self.transport = cast(Transport, transport)
--- a/cowslipmill/http1/tests/test_callerconnection.py
+++ b/cowslipmill/http1/tests/test_callerconnection.py
@@ -227,3 +227,40 @@
     caller.raises = True
     assert_that(await caller.send(GET_REQUEST), Equals(b''))
     assert_that(caller.reader.at_eof(), Equals(True))
+
+
+async def test_a_server_is_busy_while_a_request_arrives(
+    caller: CallerHarness,
+) -> None:
+    """A host that stops must not end before it has answered."""
+    await caller.send(b'POST /a HTTP/1.1\r\nhost: one\r\n')
+    assert_that(caller.server.busy, Equals(True))
+    await caller.send(b'content-length: 2\r\n\r\na')
+    assert_that(caller.server.busy, Equals(True))
+    await caller.send(b'b')
+    assert_that(caller.server.busy, Equals(False))
+
+
+async def test_a_server_is_busy_until_a_response_has_been_taken(
+    caller: CallerHarness,
+) -> None:
+    """A host that stops must not break it off."""
+    size = 16 * 1_048_576
+    caller.server.limits = CallerLimits(1_000, size, 3.0, 15.0)
+    head = b'POST /a HTTP/1.1\r\nhost: one\r\ncontent-length: %d\r\n\r\n'
+    caller.writer.write(head % size + bytes(size))
+    await sleep(0.5)
+    assert_that(caller.server.busy, Equals(True))
+    head_size = len(await caller.reader.readuntil(b'\r\n\r\n'))
+    assert_that(head_size, Not(Equals(0)))
+    await caller.reader.readexactly(size)
+    assert_that(caller.server.busy, Equals(False))
+
+
+async def test_a_rejected_request_keeps_no_server_busy(
+    caller: CallerHarness,
+) -> None:
+    """Its caller may go on sending what is ignored."""
+    await caller.send(b'GET /a HTTP/1.1\r\nx: ' + b'y' * 2_000 + b'\r\n')
+    await caller.send(b'more: ')
+    assert_that(caller.server.busy, Equals(False))
