Tell late copies of responses without an id from the next response

Callers saw: the response to another request, if they gave theirs no id and an earlier request on the pooled connection was answered twice. And a late copy of a health response that turned the question away (503, not executed, no id) would be taken for the rejection of the next request on that connection: a request that runs would be told as not run, and sent again.

Cause: a request without an id took any response for its own. A connection was put aside after a response without an id only if the request had one, so not after a health request; connections of path checks were pooled.

Change: a response with an id isn't that of a request without one, and a connection isn't used again after a response without an id. Connections of path checks aren't pooled any more. Load probes keep theirs: they carry nothing else, and a copy there is a load report.

Evidence: three tests of test_serverconnection.py failed before.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -65,6 +65,8 @@
     Attributes:
         request_id_header: Header that responses echo from their request; if
             empty, every response is taken as that of the open request.
+            Otherwise the connection isn't used again after a response
+            without it, such as that to a health request.
         pending_response: Completes with the response to the open request.
         request_id: Request id of the open request, or empty bytes.
         opened_at: Loop time when the connection was established.
@@ -206,7 +208,7 @@
             return
         pending, self.pending_response = self.pending_response, None
         identified = response.header(self.request_id_header)
-        if close or (self.request_id and not identified):
+        if close or (self.request_id_header and not identified):
             # A late copy of a response without an id would be taken for the
             # next one.
             self.reusable = False
@@ -220,9 +222,9 @@
         """Tells whether a response belongs to the open request.
 
         A response has to echo the request id, but an error status may come
-        without one.
+        without one. One to a request without an id has none either.
         """
-        if not self.request_id:
+        if not self.request_id_header:
             return True
         echoed = response.header(self.request_id_header)
         if not echoed and response.status >= MIN_ERROR_STATUS:
--- a/cowslipmill/http1/tests/test_serverconnection.py
+++ b/cowslipmill/http1/tests/test_serverconnection.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import get_running_loop
+from asyncio import Server
 from asyncio import sleep
 from asyncio import start_server
 from asyncio import StreamReader
@@ -13,6 +14,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.pool import ConnectionPool
 from cowslipmill.http1.serverconnection import ConnectFailed
@@ -229,3 +231,54 @@
     server.close()
     assert_that(len(response.body), Equals(len(body)))
     assert_that(connection.usable, Equals(True))
+
+
+RESPONSE = b'HTTP/1.1 %d Status\r\n%bcontent-length: 3\r\n\r\n%b'
+ID_LINE = b'x-request-id: r1\r\n'
+
+
+def without_id(request: Request) -> Request:
+    """Returns a request as a caller sends it that gives it no id."""
+    headers = [h for h in request.headers if h[0] != b'x-request-id']
+    return Request(request.method, request.target, headers, request.body)
+
+
+async def connect_to_writer(
+    *writes: bytes,
+) -> tuple[ServerConnection, Server]:
+    """Connects to a server that writes the next bytes for each request."""
+    remaining = list(writes)
+
+    async def respond(reader: StreamReader, writer: StreamWriter) -> None:
+        with suppress(OSError, EOFError):
+            while remaining:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(remaining.pop(0))
+
+    server = await start_server(respond, '127.0.0.1', 0)
+    address = server.sockets[0].getsockname()
+    connection = await open_connection(address, 1.0, b'x-request-id')
+    return connection, server
+
+
+async def test_a_late_copy_is_not_taken_for_the_response_to_no_id() -> None:
+    """A caller that gives its request no id gets its own response."""
+    first = RESPONSE % (200, ID_LINE, b'one')
+    second = first + RESPONSE % (200, b'', b'two')
+    connection, server = await connect_to_writer(first, second)
+    await connection.exchange(make_request(1))
+    response = await connection.exchange(without_id(make_request(2)))
+    server.close()
+    assert_that(response.body, Equals(b'two'))
+
+
+@pytest.mark.parametrize('status', [200, 503])
+async def test_a_connection_is_not_reused_after_a_response_to_no_id(
+    status: int,
+) -> None:
+    """A late copy of it could be taken for a rejection of the next request."""
+    raw = RESPONSE % (status, b'', b'one')
+    connection, server = await connect_to_writer(raw)
+    await connection.exchange(without_id(make_request(1)))
+    server.close()
+    assert_that(connection.usable, Equals(False))
--- a/cowslipmill/paths/pathchecker.py
+++ b/cowslipmill/paths/pathchecker.py
@@ -22,7 +22,7 @@
 
 
 class PathChecker:
-    """Checks paths over new connections, which are pooled afterwards.
+    """Checks paths over new connections, which carry no requests.
 
     No request waits for a check.
 
@@ -30,7 +30,7 @@
         paths: Learns the results.
         view: Knows the health paths of services.
         dialer: Opens connections to servers.
-        pool: Gets the connections over which a server responded.
+        pool: Idle connections to servers.
         header_codec: Encodes health requests.
         random: Chooses servers to check.
         pauses: Servers that want nothing for a time, and are not checked.
@@ -125,7 +125,9 @@
         self.paths.record_reached(
             server.address, connection.opened_at, self.clock()
         )
-        self.pool.release(server.address, connection)
+        # A late copy of this response has no id, and could be taken for the
+        # rejection of a request.
+        connection.close()
         if self.header_codec.decode_health(response, server) is None:
             return
         pause_s = self.header_codec.pause_s(response, time())
