Test that restarted hosts use no server that leaves or has left

Asked for by the users, after other operators had seen it. Nothing found: the server's own word in the response to the load probe comes before any grant, also if the store comes back from a copy that still holds the server.

--- a/cowslipmill/host/tests/test_serverleaving.py
+++ b/cowslipmill/host/tests/test_serverleaving.py
@@ -105,3 +105,36 @@
     statuses = await send_to_all(large_fleet)
     assert_that(set(statuses), Equals({200}))
     assert_that(len(backend.runs), Equals(before))
+
+
+@pytest.mark.parametrize('number', range(4))
+async def test_a_restarted_host_sends_nothing_to_a_server_that_leaves(
+    large_fleet: Fleet, number: int
+) -> None:
+    """From its first moment, whoever tells it first."""
+    backend = await announce_leaving(large_fleet)
+    before = len(backend.runs)
+    await large_fleet.restart_host(number)
+    for count in range(100):
+        await large_fleet.send_request(f'/book/{count}', host=number)
+        await sleep(0.01)
+    assert_that(len(backend.runs), Equals(before))
+
+
+async def test_a_restarted_host_does_not_use_a_server_that_has_left(
+    large_fleet: Fleet,
+) -> None:
+    """Also if the store comes back from a copy that still holds it."""
+    fleet = large_fleet
+    backend = await announce_leaving(fleet)
+    copy = fleet.store.copy()
+    fleet.store.remove('servers/one')
+    await sleep(NOTICE_S)
+    fleet.store.restore(copy)
+    before = len(backend.runs)
+    for number in range(4):
+        await fleet.restart_host(number)
+        for count in range(40):
+            await fleet.send_request(f'/book/{count}', host=number)
+            await sleep(0.01)
+    assert_that(len(backend.runs), Equals(before))
