Fetch one view at a time, from the own failure domain

Cause: each reply to a greeting and each update with a gap fetched the whole view of another host, whether one was already on its way. When all hosts start at once, each of them reads the store and tells its revision to all others, who fetch its view, of 3,001 servers. A host that started alone fetched it from the seeds, mostly of another domain, and once from each.

Change: one view is on its way at a time; another is fetched afterwards only if something is still lacking. It comes from the own domain if a host of it is known.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -96,6 +96,9 @@
         contacted: Addresses of hosts that have responded to a `Hello`.
         started_at: When this host started, in monotonic seconds.
         told_suspects: Whether another host has told all suspect requests.
+        snapshot_source: Address of the host to ask for its view next; None
+            if there is none.
+        fetching_snapshot: Whether a view is on its way.
         newcomers: New hosts that aren't announced yet.
         greetings: Hosts of this failure domain that were greeted, each with
             whether it replied or may still do so.
@@ -126,6 +129,8 @@
         self.contacted: set[Address] = set()
         self.started_at = clock()
         self.told_suspects = False
+        self.snapshot_source: Address | None = None
+        self.fetching_snapshot = False
         self.newcomers: list[Member] = []
         self.greetings: dict[Member, bool] = {}
         rpc.register(Hello, self.on_hello)
@@ -275,10 +280,20 @@
         self.contacted.add(address)
         if not self.caught_up:
             await self.fetch_suspects(address)
-        if not self.view.usable:
-            await self.fetch_snapshot(address)
+        if not self.view.usable and self.is_snapshot_source(address):
+            self.request_snapshot(address)
         return True
 
+    def is_snapshot_source(self, address: Address) -> bool:
+        """Returns whether a host that has replied is to tell its view.
+
+        One of the own failure domain is, since views are large; one of
+        another domain only while no other host of the own one is known.
+        """
+        own = self.member_list.own
+        others = self.member_list.other_members(own.failure_domain)
+        return not others or any(m.address == address for m in others)
+
     def add_members(self, members: tuple[Member, ...]) -> list[Member]:
         """Adds hosts, greets the relays among the new ones, returns these."""
         added = self.member_list.add(members)
@@ -322,9 +337,29 @@
             self.greet_relays()
 
     def request_snapshot(self, address: Address) -> None:
-        """Starts to fetch another host's view in the background."""
-        work = self.fetch_snapshot(address)
-        self.add_future(run_logged('snapshot', work))
+        """Starts to fetch another host's view in the background.
+
+        While another one is on its way, it is fetched only if something is
+        still lacking afterwards.
+        """
+        waiting = self.snapshot_source is not None
+        self.snapshot_source = address
+        if not waiting and not self.fetching_snapshot:
+            work = self.fetch_snapshots()
+            self.add_future(run_logged('snapshot', work))
+
+    async def fetch_snapshots(self) -> None:
+        """Fetches views, one at a time, until nothing is lacking."""
+        self.fetching_snapshot = True
+        try:
+            while self.snapshot_source is not None:
+                address, self.snapshot_source = self.snapshot_source, None
+                await self.fetch_snapshot(address)
+                if self.view.usable and not self.view.has_gap:
+                    self.snapshot_source = None
+        finally:
+            self.snapshot_source = None
+            self.fetching_snapshot = False
 
     async def fetch_snapshot(self, address: Address) -> None:
         """Asks another host for the part of its view that this one lacks.
--- a/cowslipmill/fleet/tests/network.py
+++ b/cowslipmill/fleet/tests/network.py
@@ -12,6 +12,7 @@
 
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.memberlist import MemberList
+from cowslipmill.fleet.messages import AskSnapshot
 from cowslipmill.fleet.messages import Member
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.view.view import View
@@ -32,6 +33,7 @@
         handlers: Message handlers by message type.
         peers: Addresses of the hosts that this one has a link to.
         sent: Number of messages sent, by type.
+        snapshots_from: Addresses of the hosts asked for their view.
     """
 
     def __init__(self, network: 'FakeNetwork', name: str) -> None:
@@ -41,6 +43,7 @@
         self.handlers: dict[type, Handler] = {}
         self.peers: set[Address] = set()
         self.sent: Counter[str] = Counter()
+        self.snapshots_from: list[Address] = []
 
     def register(self, message_type: type, handler: Handler) -> None:
         """Sets the handler of one message type."""
@@ -52,6 +55,9 @@
         """Returns the other host's reply, or `Unreachable` if it is down."""
         self.peers.add(address)
         self.sent[type(message).__name__] += 1
+        if isinstance(message, AskSnapshot):
+            self.snapshots_from.append(address)
+            await sleep(self.network.snapshot_s)
         await sleep(DELAY_S)
         other = self.network.hosts.get(address)
         if other is None:
@@ -80,6 +86,7 @@
         hosts: Gossip of the hosts that are up, by address.
         seeds: Addresses of the seeds.
         tasks: Messages on their way.
+        snapshot_s: Time that a view takes on its way, in seconds.
         silent: Whether hosts that are down don't respond at all, as without
             power, or refuse connections, as before their process listens.
     """
@@ -88,6 +95,7 @@
         """Starts without hosts."""
         self.hosts: dict[Address, Gossip] = {}
         self.tasks: set[Task[Any]] = set()
+        self.snapshot_s = 0.0
         self.silent = True
         self.seeds: tuple[Address, ...] = ()
 
--- a/cowslipmill/fleet/tests/test_gossip.py
+++ b/cowslipmill/fleet/tests/test_gossip.py
@@ -7,6 +7,7 @@
 from asyncio import get_running_loop
 from asyncio import sleep
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 import pytest_asyncio
@@ -14,11 +15,18 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.gossip import MAX_GREETED
 from cowslipmill.fleet.gossip import MAX_NEIGHBOURS
 from cowslipmill.fleet.messages import Member
+from cowslipmill.fleet.messages import News
 from cowslipmill.fleet.tests.network import FakeNetwork
 from cowslipmill.fleet.tests.network import SEEDS
+from cowslipmill.view.events import ConfigurationUpdated
+from cowslipmill.view.events import ServerUpdated
+from cowslipmill.view.events import StoreEvent
+from cowslipmill.view.tests.conftest import make_configuration
+from cowslipmill.view.tests.conftest import make_record
 
 # Within this time after a disturbance, hosts keep all promises again.
 KNOWN_S = 3.0
@@ -122,3 +130,81 @@
     network.silent = False
     await network.start(60, DOMAINS, seeds_late_s=0.15)
     assert_that(await seconds_until_known(network), LessThan(SOON_S))
+
+
+def fill_view(gossip: Gossip) -> None:
+    """Lets a host know the store."""
+    events: list[StoreEvent] = [
+        ConfigurationUpdated(make_configuration(1)),
+        ServerUpdated(make_record(1), 2),
+    ]
+    now = get_running_loop().time()
+    gossip.view.apply_events(events, now)
+    gossip.view.advance(2, now)
+
+
+async def seconds_until_usable(network: FakeNetwork) -> float:
+    """Waits until all hosts have a view; returns how long it took."""
+    loop = get_running_loop()
+    started_at = loop.time()
+    while not all(g.view.usable for g in network.hosts.values()):
+        assert loop.time() - started_at < 2 * KNOWN_S, 'hosts lack a view'
+        await sleep(0.05)
+    return loop.time() - started_at
+
+
+async def test_a_host_that_starts_fetches_one_view_from_its_domain(
+    network: FakeNetwork,
+) -> None:
+    """Views of thousands of servers fill its link, and links of domains."""
+    network.snapshot_s = 0.3
+    await network.start(60, DOMAINS)
+    await seconds_until_known(network)
+    for gossip in network.hosts.values():
+        fill_view(gossip)
+    late = await network.start_host(LATE)
+    await seconds_until_usable(network)
+    await sleep(1.0)
+    rpc: Any = late.rpc
+    (source,) = rpc.snapshots_from
+    domain = network.hosts[source].member_list.own.failure_domain
+    assert_that(domain, Equals(LATE.failure_domain))
+
+
+async def test_many_gaps_are_filled_by_few_views(network: FakeNetwork) -> None:
+    """When all hosts start at once, each tells the others what it has read."""
+    network.snapshot_s = 0.3
+    await network.start(60, 1)
+    await seconds_until_known(network)
+    first, *others = network.hosts.values()
+    for gossip in others:
+        fill_view(gossip)
+        own = gossip.member_list.own.name
+        news = News(2, 2, 0.0, (), own, relay=False)
+        await first.on_news(news, own)
+        await sleep(0.01)
+    await seconds_until_usable(network)
+    rpc: Any = first.rpc
+    assert_that(len(rpc.snapshots_from), LessThan(3))
+
+
+async def test_a_view_is_fetched_again_if_a_newer_one_was_told_meanwhile(
+    network: FakeNetwork,
+) -> None:
+    """What the first one lacks may come with no later update."""
+    network.snapshot_s = 0.3
+    await network.start(3, 1)
+    await seconds_until_known(network)
+    first, second, third = network.hosts.values()
+    fill_view(second)
+    fill_view(third)
+    third.view.advance(5, get_running_loop().time())
+    for gossip in (second, third):
+        own = gossip.member_list.own.name
+        revision = gossip.view.revision
+        await first.on_news(
+            News(revision, revision, 0.0, (), own, relay=False), own
+        )
+        await sleep(0.01)
+    await sleep(1.0)
+    assert_that(first.view.revision, Equals(5))
