Let the simulated fleet compare and announce as hosts do

The simulation now calls compare_once, so that what a comparison does is the code of hosts, and work in the background takes no simulated time, since it ran only by chance before.

--- a/cowslipmill/forwarding/tests/test_crashtracker.py
+++ b/cowslipmill/forwarding/tests/test_crashtracker.py
@@ -21,7 +21,6 @@
 
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.memberlist import MemberList
-from cowslipmill.fleet.messages import Compare
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.crashtracker import CrashTracker
@@ -38,6 +37,13 @@
 CONTACT_S = 3.0
 MAX_LATE_CRASHES = 3
 SEEDS = 8
+# Turns of the event loop that work in the background takes at most.
+YIELDS = 3
+
+
+async def yield_to_others(delay_s: float) -> None:
+    """Takes no simulated time, unlike the sleep of a service."""
+    await sleep(0)
 
 
 class Node:
@@ -70,6 +76,8 @@
             lambda: fleet.now,
             fleet.random,
         )
+        # Announcements are delayed by the simulated latency alone.
+        self.gossip.sleep = yield_to_others
         checks = cast(RunningChecks, None)
         self.tracker = CrashTracker(
             self.gossip, rpc, checks, lambda: fleet.now
@@ -142,6 +150,8 @@
 
     async def deliver(self) -> None:
         """Delivers the messages that are due; a cut loses them."""
+        for _ in range(YIELDS):
+            await sleep(0)
         while self.queue and self.queue[0][0] <= self.now:
             _, number, sender, receiver, message = heappop(self.queue)
             node = self.nodes[receiver]
@@ -153,15 +163,8 @@
 
     async def compare(self, node: Node, round_number: int) -> None:
         """Has a host compare what it knows with another one."""
-        peer = node.gossip.choose_peer(round_number)
-        if peer is None or self.now < node.paused_until:
-            return
-        message = Compare(
-            node.gossip.member_list.digest(),
-            node.member,
-            node.gossip.suspects.digest(),
-        )
-        await node.gossip.exchange_members(peer.address, peer.name, message)
+        if self.now >= node.paused_until:
+            await node.gossip.compare_once(round_number)
 
     def disturb(self) -> None:
         """Restarts, cuts off or pauses a host."""
