Take the view from another domain if the own one is gone

Callers would see: 503 from a host that starts while all other hosts of its failure domain are gone and the store is away, although other domains serve.

Change: if a host of the own domain doesn't reply to a greeting and there is no view yet, it is fetched from a host that did reply.

Evidence: test_a_host_whose_domain_is_gone_gets_the_view_from_another, with hosts that refuse and with silent ones, failed before and passes.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -331,10 +331,17 @@
                 self.add_future(run_logged('greeting', work))
 
     async def greet_relay(self, member: Member) -> None:
-        """Greets a host, and another one in its place if it is silent."""
-        if not await self.send_hello(member.address):
-            self.greetings[member] = False
-            self.greet_relays()
+        """Greets a host, and another one in its place if it is silent.
+
+        The view then comes from another failure domain, since all hosts of
+        this one may be gone.
+        """
+        if await self.send_hello(member.address):
+            return
+        self.greetings[member] = False
+        self.greet_relays()
+        if self.contacted and not self.view.usable:
+            self.request_snapshot(self.random.choice(sorted(self.contacted)))
 
     def request_snapshot(self, address: Address) -> None:
         """Starts to fetch another host's view in the background.
--- a/cowslipmill/fleet/tests/test_gossip.py
+++ b/cowslipmill/fleet/tests/test_gossip.py
@@ -208,3 +208,20 @@
         await sleep(0.01)
     await sleep(1.0)
     assert_that(first.view.revision, Equals(5))
+
+
+@pytest.mark.parametrize('silent', [False, True])
+async def test_a_host_whose_domain_is_gone_gets_the_view_from_another(
+    network: FakeNetwork, silent: bool
+) -> None:
+    """The store may be away at the same time."""
+    network.silent = silent
+    await network.start(60, DOMAINS)
+    await seconds_until_known(network)
+    for gossip in list(network.hosts.values()):
+        fill_view(gossip)
+        member = gossip.member_list.own
+        if member.failure_domain == LATE.failure_domain:
+            await network.hosts.pop(member.address).stop()
+    await network.start_host(LATE)
+    assert_that(await seconds_until_usable(network), LessThan(KNOWN_S))
