Take no request after the last look before a host ends

A connection that was accepted before the listener closed, or a request whose bytes arrive then, was handled and sent to a server.

Change: after the last look no request is handled any more; such a connection is closed with the request unread, which callers may send again.

Evidence: three tests of the connection; on the code before, one failed and one waited without end.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -527,6 +527,6 @@
                 break
         for listener in self.listeners:
             listener.close()
-        self.callers.close_idle()
+        self.callers.end()
         self.rpc.abort()
         LOG.info('stopped', extra={'busy': self.callers.busy})
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -66,10 +66,18 @@
         limits: The limits in force for all connections.
         clock: Returns monotonic seconds.
         closing: Whether each connection is closed after its next response.
+        ended: Whether no further request is handled.
         connections: The open connections.
     """
 
-    __slots__ = ('clock', 'closing', 'connections', 'handler', 'limits')
+    __slots__ = (
+        'clock',
+        'closing',
+        'connections',
+        'ended',
+        'handler',
+        'limits',
+    )
 
     def __init__(
         self,
@@ -82,6 +90,7 @@
         self.limits = limits
         self.clock = clock
         self.closing = False
+        self.ended = False
         self.connections: set[CallerConnection] = set()
 
     def __call__(self) -> 'CallerConnection':
@@ -103,6 +112,16 @@
             if connection.idle:
                 connection.close()
 
+    def end(self) -> None:
+        """Closes the connections that have no request, and takes no more.
+
+        A request that the process reads from now on would be sent to a server
+        and cut off when the process ends. One whose connection is closed
+        instead counts as not read.
+        """
+        self.ended = True
+        self.close_idle()
+
     @property
     def busy(self) -> bool:
         """Whether a request or a response is on its way on a connection."""
@@ -169,6 +188,10 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Registers the connection and disables Nagle's algorithm."""
         self.transport = cast(Transport, transport)
+        if self.server.ended:
+            self.input_ended = True
+            self.close()
+            return
         self.server.connections.add(self)
         sock = transport.get_extra_info('socket')
         if sock is not None:
@@ -184,7 +207,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; malformed input gets status 400."""
-        if self.input_ended:
+        if self.input_ended or self.server.ended:
             return
         if not self.receiving:
             self.receiving = True
@@ -248,7 +271,9 @@
     async def serve(self) -> None:
         """Handles the pending requests one after the other."""
         try:
-            while self.pending and not self.disconnected:
+            while self.pending and not (
+                self.disconnected or self.server.ended
+            ):
                 request = self.pending.popleft()
                 response = await self.server.handler(request, self)
                 self.on_disconnect = None
--- a/cowslipmill/http1/tests/test_callerconnection.py
+++ b/cowslipmill/http1/tests/test_callerconnection.py
@@ -6,6 +6,7 @@
 from asyncio import StreamReader
 from asyncio import StreamWriter
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
 import pytest
 import pytest_asyncio
@@ -264,3 +265,41 @@
     await caller.send(b'GET /a HTTP/1.1\r\nx: ' + b'y' * 2_000 + b'\r\n')
     await caller.send(b'more: ')
     assert_that(caller.server.busy, Equals(False))
+
+
+async def test_a_server_that_has_ended_takes_no_request(
+    caller: CallerHarness,
+) -> None:
+    """The process ends now, and would cut it off after it was sent on."""
+    await caller.send(b'')
+    caller.writer.write(GET_REQUEST)
+    caller.server.end()
+    with suppress(ConnectionError):
+        assert_that(await caller.reader.read(), Equals(b''))
+    assert_that(caller.requests, Equals([]))
+
+
+async def test_a_connection_made_after_the_end_is_closed(
+    caller: CallerHarness,
+) -> None:
+    """It was accepted before the listener was closed."""
+    await caller.send(b'')
+    caller.server.end()
+    host, port = caller.writer.get_extra_info('peername')
+    reader, writer = await open_connection(host, port)
+    writer.write(GET_REQUEST)
+    with suppress(ConnectionError):
+        assert_that(await reader.read(), Equals(b''))
+    writer.close()
+    assert_that(caller.requests, Equals([]))
+
+
+async def test_a_pipelined_request_is_not_begun_after_the_end(
+    caller: CallerHarness,
+) -> None:
+    """The one before it is answered."""
+    caller.writer.write(GET_REQUEST + GET_REQUEST)
+    await sleep(0.01)
+    caller.server.end()
+    await sleep(0.1)
+    assert_that(len(caller.requests), Equals(1))
