--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,6 +8,7 @@
 from base64 import b64encode
 from collections.abc import Callable
 import json
+from math import ceil
 import os
 from pathlib import Path
 import random
@@ -258,6 +259,8 @@
         self.at_work: set[str] = set()
         # Whether its answers say that it leaves.
         self.says_leaving = False
+        # Until when it turns requests away, in seconds of the record.
+        self.busy_until = 0.0
         self.sound = True
         # Answers a request in place of `answer`, if set.
         self.trouble: Callable | None = None
@@ -309,6 +312,17 @@
                     head = f'x-instance-id: {self.name}\r\n'
                     self.write(writer, 421, head, b'')
                     continue
+                busy_s = self.busy_until - self.record.now()
+                if busy_s > 0.0:
+                    self.record.write(
+                        f'{self.name} turns {request_id} away for'
+                        f' {busy_s:.2f} s'
+                    )
+                    head = f'x-request-id: {request_id}\r\n'
+                    head += 'x-not-executed: 1\r\n'
+                    head += f'retry-after: {ceil(busy_s)}\r\n'
+                    self.write(writer, 503, head, b'')
+                    continue
                 if self.running >= self.slots:
                     head = f'x-request-id: {request_id}\r\n'
                     head += 'x-not-executed: 1\r\n'
@@ -404,8 +418,17 @@
 class Deployment:
     """Hosts, store and servers, and the platform's part in running them."""
 
-    def __init__(self, folder: Path, *, memory_mb: int = 300) -> None:
-        """Starts nothing yet."""
+    def __init__(
+        self, folder: Path, *, memory_mb: int = 300, **bounds: str
+    ) -> None:
+        """Starts nothing yet.
+
+        Args:
+            folder: Folder of the record.
+            memory_mb: Memory limit of a host.
+            **bounds: Values of `Bounds` that differ from the usual ones.
+        """
+        self.bounds = bounds
         self.record = Record(folder / 'record.txt')
         self.memory_mb = memory_mb
         self.addresses = Addresses()
@@ -533,6 +556,7 @@
             'Platform.Address=%s:%d' % self.store.address,
             'Platform.form=read',
             'Platform.ReadsPerS=2000',
+            *(f'Bounds.{name}={value}' for name, value in self.bounds.items()),
         ]
         return '\n'.join(lines) + '\n'
 
