--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 
 from deployment import Callers  # noqa: E402
 from deployment import Deployment  # noqa: E402
+from deployment import run  # noqa: E402
 from deployment import Server  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -144,4 +145,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    run(main)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from base64 import b64encode
+from collections.abc import Awaitable
 from collections.abc import Callable
 import json
 from math import ceil
@@ -15,9 +16,12 @@
 import shlex
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
+from traceback import print_exc
+from typing import NoReturn
 from urllib.parse import parse_qs
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -25,6 +29,10 @@
 READINESS_S = 1.0
 PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 RESTART_S = 0.5
+# Exit status of a case that says nothing of the rule.
+COULD_NOT_RUN = 2
+# A case that has not ended by then couldn't run.
+TIME_LIMIT_S = 110.0
 # Callers send long bodies in pieces, at so many bytes a second.
 PIECE_BYTES = 262_144
 SEND_BYTES_PER_S = 20_000_000
@@ -441,6 +449,7 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.bootstrap = True
         self.ending = False
+        self.callers: list[Callers] = []
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self.command = shlex.split(deploy['roles']['host']['run'])
 
@@ -676,6 +685,9 @@
         for task in others:
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
+        for callers in self.callers:
+            for writer in list(callers.writers):
+                callers.close(writer)
         await asyncio.sleep(0.05)
         self.temporary.cleanup()
 
@@ -707,6 +719,7 @@
         """Starts without connections."""
         self.deployment = deployment
         self.record = deployment.record
+        deployment.callers.append(self)
         self.idle: dict[str, list] = {}
         self.outcomes: list[Outcome] = []
         self.number = 0
@@ -872,3 +885,27 @@
             await asyncio.wait(set(self.tasks))
         for writer in list(self.writers):
             self.close(writer)
+
+
+async def run_guarded(main: Callable[[], Awaitable[int]]) -> int:
+    """Returns the exit status of a case; 2 if it couldn't run to its end.
+
+    SIGTERM ends it as well as an error does, with the processes it started.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        async with asyncio.timeout(TIME_LIMIT_S):
+            return await main()
+    except asyncio.CancelledError:
+        return COULD_NOT_RUN
+    except Exception:
+        print_exc()
+        return COULD_NOT_RUN
+
+
+def run(main: Callable[[], Awaitable[int]]) -> NoReturn:
+    """Runs a case and exits with its status."""
+    sys.exit(asyncio.run(run_guarded(main)))
