--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 ZONES = ['zone-a', 'zone-b', 'zone-c']
 # The trouble begins so long after the traffic, and lasts so long.
 TROUBLE_AT_S = 6.0
-TROUBLE_S = 6.0
+TROUBLE_S = 5.0
 TRAFFIC_S = 20.0
 # Of the answers of the server in trouble, so many have no end.
 SHARE = 0.4
@@ -111,7 +111,7 @@
 
 
 def judge(deployment: Deployment, callers: Callers) -> int:
-    """Returns 1 if more than `ALLOWED` requests were cut off."""
+    """Returns 1 if one host cut off more than `ALLOWED` requests."""
     record = deployment.record
     sound = [server for server in deployment.servers if server.sound]
     cut = [
@@ -136,12 +136,17 @@
     record.write(
         f'result: {len(cut)} requests from kept connections were passed on to'
         f' sound servers and cut off without an answer; {ALLOWED} are allowed'
+        ' to a host'
     )
+    by_host: dict[str, int] = {}
     for outcome in cut:
-        record.write(f'cut off: {outcome.request_id} {outcome.kind}')
+        name = outcome.host.name
+        by_host[name] = by_host.get(name, 0) + 1
+        record.write(f'cut off: {outcome.request_id} {outcome.kind} {name}')
+    record.write(f'result: cut off by each host: {by_host}')
     if good < 50:
         return 2
-    return 1 if len(cut) > ALLOWED else 0
+    return 1 if max(by_host.values(), default=0) > ALLOWED else 0
 
 
 if __name__ == '__main__':
