Bound the memory that responses of servers hold together

Cause: a response was bounded in bytes received, 8 MB each, and not in what is kept of them. Nothing bounded all responses together either: a few dozen of 8 MB are as many as a host has.

Change: fields after a body are skipped, as they belong to no header; a body is appended in place; what a response holds is counted against one budget of all connections to servers, and its memory until its caller has it. If it is used up, the largest response ends, so that sound servers, whose responses are small, don't pay. Surplus responses are bounded in bytes as well. Long requests are handed to the transport in pieces, since it copies what is not taken. The line `memory limit` tells what ended and how much was held.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -35,6 +35,8 @@
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.prober import Prober
 from cowslipmill.leasing.serverpauses import ServerPauses
+from cowslipmill.memory.budgets import MEBIBYTE
+from cowslipmill.memory.budgets import MemoryBudgets
 from cowslipmill.paths.pathchecker import PathChecker
 from cowslipmill.paths.serverpaths import ServerPaths
 from cowslipmill.relays.relayclient import RelayClient
@@ -92,6 +94,7 @@
         metrics_port: Port of the metrics endpoint; 0 for none.
         stopping: Whether the host has begun to stop and is not ready any more.
         clock: Returns the event loop's monotonic seconds.
+        memory: What the work of each kind may hold.
         view: The configuration and the servers in force.
         store_reader: Reads changes from the store into the view.
         read_schedule: Decides when this host reads the store.
@@ -137,9 +140,10 @@
         self.clock = clock
         random = Random()
         self.random = random
+        self.memory = MemoryBudgets(int(settings.memory_mb * MEBIBYTE))
         self.view = View(leaving_s=settings.leaving_s)
         self.store_reader = StoreReader(
-            settings.store, store, self.view, clock
+            settings.store, store, self.view, clock, self.memory.servers
         )
         self.read_schedule = ReadSchedule()
         own_member = Member(
@@ -165,7 +169,7 @@
         self.path_checker = PathChecker(
             self.paths,
             self.view,
-            Dialer(settings.server_source_ip),
+            Dialer(settings.server_source_ip, self.memory.servers),
             self.pool,
             header_codec,
             clock,
@@ -331,6 +335,7 @@
         self, request: Request, connection: CallerConnection
     ) -> Response:
         """Handles a scrape: returns all metrics in Prometheus' text format."""
+        self.memory.update_metrics()
         headers = [(b'content-type', b'text/plain; version=0.0.4')]
         return Response(200, headers, generate_latest())
 
--- a/cowslipmill/host/settings.py
+++ b/cowslipmill/host/settings.py
@@ -4,6 +4,9 @@
 
 Address = tuple[str, int]
 
+# Memory limit of a host process unless its settings name one.
+DEFAULT_MEMORY_MB = 300.0
+
 
 class HostSettings(Struct, frozen=True):
     """Settings that a host process reads at its start.
@@ -28,6 +31,7 @@
             differs from `peer_listen`.
         server_source_ip: Local IP address of connections to servers; empty
             if the system chooses it.
+        memory_mb: Memory limit of the process in MiB.
     """
 
     name: str
@@ -44,3 +48,4 @@
     first_start: bool = False
     peer_address: Address | None = None
     server_source_ip: str = ''
+    memory_mb: float = DEFAULT_MEMORY_MB
--- a/cowslipmill/host/tests/test_operations.py
+++ b/cowslipmill/host/tests/test_operations.py
@@ -14,6 +14,7 @@
     'host',
     'http1',
     'leasing',
+    'memory',
     'paths',
     'relays',
     'view',
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -16,7 +16,7 @@
 from httptools import HttpParserError
 from httptools import HttpRequestParser
 
-from cowslipmill.http1.message import encode_response
+from cowslipmill.http1.message import encode_response_head
 from cowslipmill.http1.message import Headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
@@ -283,9 +283,8 @@
                 is_last = self.input_ended and not self.pending
                 close = is_last or self.server.closing
                 omit_body = request.method == b'HEAD'
-                self.write(
-                    encode_response(response, close=close, omit_body=omit_body)
-                )
+                head = encode_response_head(response, close=close)
+                self.write(head if omit_body else head + response.body)
                 self.phase_started_at = self.server.clock()
                 if close:
                     self.close()
@@ -312,7 +311,7 @@
         self.receiving = False
         if self.task is None:
             response = Response(status, [], b'')
-            self.write(encode_response(response, close=True, omit_body=False))
+            self.write(encode_response_head(response, close=True))
             self.close()
 
     def enforce_timeouts(self, now: float) -> None:
--- a/cowslipmill/http1/message.py
+++ b/cowslipmill/http1/message.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Iterable
 
+from cowslipmill.memory.budget import Holding
+
 Headers = list[tuple[bytes, bytes]]
+Body = bytes | bytearray
 
 # Headers that are not forwarded: those that concern one connection only, and
 # those that a host sets or handles itself.
@@ -21,6 +24,8 @@
         b'expect',
     )
 )
+# Memory that a header takes beside its text.
+HEADER_OVERHEAD_BYTES = 160
 BODILESS_STATUSES = frozenset((204, 304))
 REASON_PHRASES = {
     200: b'OK',
@@ -43,18 +48,25 @@
         target: The path and query exactly as received.
         headers: Pairs of lower-case name and value in their original order.
         body: The complete body; empty if there is none.
+        holding: The memory that the request holds; None if not counted.
     """
 
-    __slots__ = ('body', 'headers', 'method', 'target')
+    __slots__ = ('body', 'headers', 'holding', 'method', 'target')
 
     def __init__(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: Body,
+        holding: Holding | None = None,
     ) -> None:
         """Stores the parts without checking them."""
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
+        self.holding = holding
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of a header, or empty bytes."""
@@ -68,15 +80,23 @@
         status: The status code.
         headers: Pairs of lower-case name and value in their original order.
         body: The complete body; empty if there is none.
+        holding: The memory that the response holds; None if not counted.
     """
 
-    __slots__ = ('body', 'headers', 'status')
+    __slots__ = ('body', 'headers', 'holding', 'status')
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        body: Body,
+        holding: Holding | None = None,
+    ) -> None:
         """Stores the parts without checking them."""
         self.status = status
         self.headers = headers
         self.body = body
+        self.holding = holding
 
     def header(self, name: bytes) -> bytes:
         """Returns the first value of a header, or empty bytes."""
@@ -91,6 +111,32 @@
     return b''
 
 
+class BodyBuffer:
+    """A body that is received in parts.
+
+    A body in one part, as most are, isn't copied. Further parts are appended
+    in place, so that many small ones take no more than their bytes.
+
+    Attributes:
+        data: What was received so far.
+    """
+
+    __slots__ = ('data',)
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.data: Body = b''
+
+    def append(self, part: bytes) -> None:
+        """Appends a part."""
+        if not self.data:
+            self.data = part
+            return
+        if not isinstance(self.data, bytearray):
+            self.data = bytearray(self.data)
+        self.data += part
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Returns the headers without the hop-by-hop ones.
 
@@ -105,8 +151,8 @@
     ]
 
 
-def encode_request(request: Request) -> bytes:
-    """Serializes a request.
+def encode_request_head(request: Request) -> bytes:
+    """Serializes a request without its body.
 
     Adds `Content-Length` if there is a body or the method usually has one.
     """
@@ -114,20 +160,17 @@
     lines += encode_headers(request.headers)
     if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
         lines.append(b'content-length: %d' % len(request.body))
-    return b'\r\n'.join(lines) + b'\r\n\r\n' + request.body
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
-def encode_response(
-    response: Response, *, close: bool, omit_body: bool
-) -> bytes:
-    """Serializes a response.
+def encode_response_head(response: Response, *, close: bool) -> bytes:
+    """Serializes a response without its body.
 
     Adds `Content-Length` unless the status rules out a body.
 
     Args:
         response: The response to send.
         close: Whether to add `Connection: close`.
-        omit_body: Whether to send the headers alone, as for a HEAD request.
     """
     reason = REASON_PHRASES.get(response.status, b'Status')
     lines = [b'HTTP/1.1 %d %b' % (response.status, reason)]
@@ -136,8 +179,7 @@
         lines.append(b'content-length: %d' % len(response.body))
     if close:
         lines.append(b'connection: close')
-    body = b'' if omit_body else response.body
-    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
 def encode_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[bytes]:
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -9,15 +9,21 @@
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
+from sys import maxsize
 from typing import cast
 
 from httptools import HttpParserError
 from httptools import HttpResponseParser
 
-from cowslipmill.http1.message import encode_request
+from cowslipmill.http1.message import BodyBuffer
+from cowslipmill.http1.message import encode_request_head
+from cowslipmill.http1.message import HEADER_OVERHEAD_BYTES
 from cowslipmill.http1.message import Headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.outgoing import OutgoingData
+from cowslipmill.memory.budget import Holding
+from cowslipmill.memory.budget import MemoryBudget
 
 # The kernel drops a connection whose data stays unacknowledged for this long,
 # which leaves time for a few retransmissions.
@@ -28,6 +34,12 @@
 # Limit of what comes before the headers of a response are complete, interim
 # responses included.
 MAX_HEAD_BYTES = 131_072
+# Limit of the surplus responses that are skipped during one exchange.
+MAX_SKIPPED_BYTES = 1_048_576
+# Memory that the headers of a response may take.
+MAX_HEAD_MEMORY_BYTES = 4 * MAX_HEAD_BYTES
+# Memory that an open connection takes beside what it receives.
+CONNECTION_BYTES = 8_192
 # Responses with this status or a higher one may lack the request id.
 MIN_ERROR_STATUS = 400
 # Subtracted from the idle timeout that a server announces, so that no request
@@ -76,21 +88,40 @@
         received_bytes: Bytes that arrived since then, without those of
             surplus responses that were skipped.
         reusable: Whether the connection may carry further requests.
+        skipped_bytes: Bytes of surplus responses since then.
         has_framing: Whether the response's headers tell where its body ends;
             otherwise it ends with the connection.
         headers_complete: Whether the response's headers have been received.
+        memory: The budget of all connections to servers.
+        holding: The memory that this one holds; a complete response has its
+            own.
     """
 
-    def __init__(self, request_id_header: bytes = b'') -> None:
-        """Starts unconnected; `connection_made` sets the transport."""
+    def __init__(
+        self,
+        request_id_header: bytes = b'',
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        """Starts unconnected; `connection_made` sets the transport.
+
+        Args:
+            request_id_header: Header that responses echo from their request;
+                empty if they don't.
+            memory: The budget of all connections to servers; None for no
+                limit.
+        """
         self.request_id_header = request_id_header
+        self.memory = memory or MemoryBudget('unlimited', maxsize)
+        self.holding = Holding(self.memory, self)
         self.transport: Transport | None = None
+        self.outgoing: OutgoingData | None = None
         self.pending_response: Future[Response] | None = None
         self.request_id = b''
         self.opened_at = 0.0
         self.idle_since: float | None = None
         self.response_started = False
         self.received_bytes = 0
+        self.skipped_bytes = 0
         self.idle_deadline = 0.0
         self.reusable = True
         self.parser = HttpResponseParser(self)
@@ -100,8 +131,8 @@
         """Discards the parsed parts of the previous response."""
         self.status = 0
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
-        self.size = 0
+        self.head_bytes = 0
+        self.body = BodyBuffer()
         self.has_framing = False
         self.headers_complete = False
 
@@ -116,13 +147,43 @@
         )
 
     def connection_made(self, transport: BaseTransport) -> None:
-        """Disables Nagle's algorithm and sets the TCP user timeout."""
+        """Disables Nagle's algorithm and sets the TCP user timeout.
+
+        Closes the connection if there is no memory for it.
+        """
         self.transport = cast(Transport, transport)
+        self.outgoing = OutgoingData(self.transport)
         self.opened_at = get_running_loop().time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if not self.holding.resize(CONNECTION_BYTES):
+            self.close()
+            return
+        self.holding.allow_eviction(self.yield_memory)
+
+    def __str__(self) -> str:
+        """Returns what the connection is for, as written into logs."""
+        peer = None
+        if self.transport is not None:
+            peer = self.transport.get_extra_info('peername')
+        address = ':'.join(map(str, peer[:2])) if peer else 'unknown'
+        return f'response to {self.request_id.decode("latin-1")} of {address}'
+
+    def yield_memory(self) -> None:
+        """Gives up the response, or the idle connection, to make room."""
+        self.fail('memory limit', reset=False)
+
+    def pause_writing(self) -> None:
+        """Stops sending, as the transport's buffer is full."""
+        if self.outgoing is not None:
+            self.outgoing.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on sending."""
+        if self.outgoing is not None:
+            self.outgoing.resume()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; closes the connection if no request is open."""
@@ -146,6 +207,10 @@
             max_bytes = MAX_HEAD_BYTES + MAX_RESPONSE_BYTES
         if self.received_bytes > max_bytes:
             self.fail('answer exceeds its bound', reset=False)
+            return
+        held_bytes = CONNECTION_BYTES + self.head_bytes + len(self.body.data)
+        if not self.holding.resize(held_bytes):
+            self.fail('memory limit', reset=False)
 
     def eof_received(self) -> None:
         """Completes a response without framing; fails any other one."""
@@ -157,6 +222,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the open request, if there is one."""
         self.fail(str(error or 'connection closed'), reset=True)
+        self.holding.release()
+        if self.outgoing is not None:
+            self.outgoing.discard()
 
     def on_message_begin(self) -> None:
         """Starts a response; an unexpected one makes reuse impossible."""
@@ -165,11 +233,16 @@
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds one header."""
+        """Adds one header; skips the fields after a body."""
+        if self.headers_complete or self.pending_response is None:
+            return
         name = name.lower()
         if name in (b'content-length', b'transfer-encoding'):
             self.has_framing = True
         self.headers.append((name, value))
+        self.head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self.head_bytes > MAX_HEAD_MEMORY_BYTES:
+            self.fail('answer exceeds its bound', reset=False)
 
     def on_headers_complete(self) -> None:
         """Stores the status."""
@@ -178,11 +251,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; fails a response that is too large."""
-        self.size += len(body)
-        if self.size > MAX_RESPONSE_BYTES:
+        if self.pending_response is None:
+            return
+        if len(self.body.data) + len(body) > MAX_RESPONSE_BYTES:
             self.fail('answer exceeds its bound', reset=False)
             return
-        self.chunks.append(body)
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Finishes the response unless it is an interim one (1xx)."""
@@ -196,16 +270,23 @@
         Args:
             close: Whether the connection ends with this response.
         """
-        response = Response(self.status, self.headers, b''.join(self.chunks))
-        self.headers_complete = False
+        response = Response(self.status, self.headers, self.body.data)
+        size = self.head_bytes + len(response.body)
+        self.clear_response()
         if self.pending_response is None:
             self.reusable = False
             return
         if not self.matches_request(response):
+            self.skipped_bytes += self.received_bytes
             self.received_bytes = 0
-            if close:
+            if close or self.skipped_bytes > MAX_SKIPPED_BYTES:
                 self.fail('answer to another request', reset=False)
             return
+        self.holding.resize(CONNECTION_BYTES)
+        response.holding = Holding(self.memory, str(self))
+        if not response.holding.resize(size):
+            self.fail('memory limit', reset=False)
+            return
         pending, self.pending_response = self.pending_response, None
         identified = response.header(self.request_id_header)
         if close or (self.request_id_header and not identified):
@@ -275,6 +356,8 @@
     def close(self) -> None:
         """Closes the connection at once; unsent data is discarded."""
         self.reusable = False
+        self.holding.release()
+        self.clear_response()
         if self.transport is not None:
             self.transport.abort()
 
@@ -295,18 +378,19 @@
             ExchangeFailed: If no complete response was received.
             TimeoutError: If the response isn't complete in time.
         """
-        transport = self.transport
-        if not self.usable or transport is None:
+        outgoing = self.outgoing
+        if not self.usable or outgoing is None:
             raise ConnectFailed('connection is closed')
         loop = get_running_loop()
         pending: Future[Response] = loop.create_future()
         self.pending_response = pending
         self.response_started = False
         self.received_bytes = 0
+        self.skipped_bytes = 0
         self.request_id = b''
         if self.request_id_header:
             self.request_id = request.header(self.request_id_header)
-        transport.write(encode_request(request))
+        outgoing.write(encode_request_head(request), request.body, request)
         timer = None
         if until is not None:
             timer = loop.call_at(until, time_out_response, pending)
@@ -333,6 +417,7 @@
     request_id_header: bytes = b'',
     *,
     source_ip: str = '',
+    memory: MemoryBudget | None = None,
 ) -> ServerConnection:
     """Opens a connection to a server.
 
@@ -342,6 +427,7 @@
         request_id_header: Header that responses echo from their request;
             empty if they don't.
         source_ip: Local IP address; empty if the system chooses it.
+        memory: The budget of all connections to servers; None for no limit.
 
     Raises:
         ConnectFailed: If the connection isn't established in time.
@@ -351,7 +437,7 @@
     try:
         async with timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ServerConnection(request_id_header),
+                lambda: ServerConnection(request_id_header, memory),
                 *address,
                 local_addr=local_address,
             )
@@ -367,13 +453,17 @@
     Attributes:
         source_ip: Local IP address of the connections; empty if the system
             chooses it.
+        memory: The budget of all connections to servers; None for no limit.
     """
 
-    __slots__ = ('source_ip',)
+    __slots__ = ('memory', 'source_ip')
 
-    def __init__(self, source_ip: str = '') -> None:
-        """Stores the local IP address."""
+    def __init__(
+        self, source_ip: str = '', memory: MemoryBudget | None = None
+    ) -> None:
+        """Stores the local IP address and the budget."""
         self.source_ip = source_ip
+        self.memory = memory
 
     async def open(
         self,
@@ -383,5 +473,9 @@
     ) -> ServerConnection:
         """Opens a connection; see `open_connection`."""
         return await open_connection(
-            address, timeout_s, request_id_header, source_ip=self.source_ip
+            address,
+            timeout_s,
+            request_id_header,
+            source_ip=self.source_ip,
+            memory=self.memory,
         )
--- /dev/null
+++ b/cowslipmill/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory that a process holds for its work."""
--- a/cowslipmill/platform/fields.py
+++ b/cowslipmill/platform/fields.py
@@ -15,7 +15,7 @@
 MAX_PORT = 65_535
 
 
-def read_object(raw: bytes, name: str) -> JsonObject:
+def read_object(raw: bytes | bytearray, name: str) -> JsonObject:
     """Returns the JSON object that bytes encode.
 
     Args:
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -93,7 +93,13 @@
         ]
         headers.append((DEADLINE, b'%d' % max(1, int(remaining_s * 1000))))
         headers.append((EXPECTED_SERVER, server.name.encode()))
-        return Request(request.method, request.target, headers, request.body)
+        return Request(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            request.holding,
+        )
 
     def classify(self, response: Response) -> ResponseClass:
         """Returns what a server's response implies for the request.
@@ -186,7 +192,9 @@
             for name, value in end_to_end_headers(response.headers)
             if name not in HOST_ONLY_HEADERS
         ]
-        return Response(response.status, headers, response.body)
+        return Response(
+            response.status, headers, response.body, response.holding
+        )
 
     def health_request(self, server: ServerRecord, path: str) -> Request:
         """Returns a request for a server's health and load.
--- a/cowslipmill/platform/nodefile.py
+++ b/cowslipmill/platform/nodefile.py
@@ -1,5 +1,8 @@
 """Reads the settings file that the platform writes for each process."""
 
+from math import inf
+
+from cowslipmill.host.settings import DEFAULT_MEMORY_MB
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.fields import read_address
@@ -7,6 +10,8 @@
 # Environment variable with the path of the file, and the path without it.
 PATH_VARIABLE = 'COWSLIPMILL_NODE_FILE'
 DEFAULT_PATH = '/etc/cowslipmill/node.conf'
+# Memory limit of the process; optional, unlike the other numbers.
+MEMORY_FIELD = 'Limits.MemoryMb'
 
 
 def decode_settings(text: str) -> HostSettings:
@@ -37,6 +42,7 @@
         retry_reserve=read_float(fields, 'Bounds.BudgetSlack'),
         leaving_s=read_float(fields, 'Bounds.DrainMs') / 1000,
         first_start=fields.get('Bootstrap') == 'true',
+        memory_mb=read_float(fields, MEMORY_FIELD, DEFAULT_MEMORY_MB),
     )
 
 
@@ -69,17 +75,26 @@
     return read_address(read_required(fields, name), name)
 
 
-def read_float(fields: dict[str, str], name: str) -> float:
+def read_float(
+    fields: dict[str, str], name: str, default: float | None = None
+) -> float:
     """Returns a number that isn't negative.
 
+    Args:
+        fields: The texts of the fields by name.
+        name: The field.
+        default: Value of a missing field; None if it is required.
+
     Raises:
         InvalidField: If the field is missing or isn't such a number.
     """
+    if default is not None and not fields.get(name):
+        return default
     text = read_required(fields, name)
     try:
         value = float(text)
     except ValueError as error:
         raise InvalidField(name, f'{text!r} is not a number') from error
-    if value < 0:
-        raise InvalidField(name, f'{text} is negative')
+    if not 0 <= value < inf:
+        raise InvalidField(name, f'{text} is not a number from 0')
     return value
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -167,7 +167,7 @@
             method=request.method,
             target=request.target,
             headers=tuple(request.headers),
-            body=request.body,
+            body=bytes(request.body),
         )
         attempt.record_send(now)
         try:
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -205,7 +205,7 @@
             return RelayFailure(True, result.reason, result.reset, result.idle)
         response = result.response
         return RelayResponse(
-            response.status, tuple(response.headers), response.body
+            response.status, tuple(response.headers), bytes(response.body)
         )
 
     async def on_cancel_relay(self, message: CancelRelay, sender: str) -> None:
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -464,7 +464,7 @@
                 connection = None
                 continue
             ask.status = answer.status
-            ask.body = answer.body
+            ask.body = bytes(answer.body)
             ask.server = answer.header(SIGNATURE)
 
     def limit_server(self, seed: int) -> None:
@@ -498,7 +498,7 @@
                 continue
             connection.close()
             ask.status = answer.status
-            ask.body = answer.body
+            ask.body = bytes(answer.body)
             ask.server = answer.header(SIGNATURE)
 
     async def stop(self) -> None:
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -100,6 +100,16 @@
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
         b'10000\r\n' + b'x' * 65_536 + b'\r\n',
     )
+    HEADERS = (b'HTTP/1.1 200 OK\r\n', b'ab:cd\r\n' * 1_024)
+    SMALL_CHUNKS = (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+        b'2\r\nxx\r\n' * 1_024,
+    )
+    FIELDS_AFTER_BODY = (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'1\r\na\r\n0\r\n',
+        b'ab:cd\r\n' * 1_024,
+    )
     TRICKLING_HEAD = (b'HTTP/1.1 200 OK\r\nx-long: ', b'x')
     TRICKLING_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'x')
 
--- a/cowslipmill/view/reader.py
+++ b/cowslipmill/view/reader.py
@@ -14,6 +14,7 @@
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.http1.serverconnection import ServerConnection
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.view.events import EntryChanges
 from cowslipmill.view.events import EntryPage
 from cowslipmill.view.events import HistoryCompacted
@@ -92,6 +93,7 @@
         store: Builds requests and parses responses.
         view: The view.
         clock: Returns monotonic seconds.
+        memory: The budget that responses count against; None for no limit.
         connection: The persistent connection to the store, if one is open.
         cursor: Revision from which the next read continues; 0 before the
             first read.
@@ -104,12 +106,14 @@
         store: StoreApi,
         view: View,
         clock: Callable[[], float],
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Makes a reader; the first read opens the connection."""
         self.address = address
         self.store = store
         self.view = view
         self.clock = clock
+        self.memory = memory
         self.connection: ServerConnection | None = None
         self.cursor = 0
         self.reachable: bool | None = None
@@ -219,7 +223,7 @@
         try:
             if connection is None or not connection.usable:
                 connection = await open_connection(
-                    self.address, CONNECT_TIMEOUT_S
+                    self.address, CONNECT_TIMEOUT_S, memory=self.memory
                 )
                 self.connection = connection
             until = loop.time() + wait_s + CALL_TIMEOUT_S
