Bound the memory that requests of callers hold together

Cause: a body was bounded by the configuration alone, whatever the memory of the host, and existed up to four times: in parts, joined, joined once more with its head, and as the copy that a transport keeps of what it can't send.

Change: what connections and requests of callers hold is counted against one budget. A body that is announced is counted before it arrives, so that one without room is refused at once, with 503, which is true; one of unknown length is counted as it grows. The largest request that is still arriving makes room for smaller ones, and large ones leave a reserve, so that callers that send little don't pay. Bodies are kept once, and hashed and sent without a copy. A response counts until its caller has taken it; the next request of the connection waits for that, and a caller that takes nothing for the idle timeout is disconnected. The rest of a rejected request is read and discarded for 2 s, since the reset would lose the response. A request must have arrived within 60 s. The listeners for readiness and metrics are bounded in the same way.

--- a/cowslipmill/forwarding/fingerprints.py
+++ b/cowslipmill/forwarding/fingerprints.py
@@ -39,5 +39,6 @@
         target,
         request.body,
     ):
-        digest.update(b'%d:' % len(part) + part)
+        digest.update(b'%d:' % len(part))
+        digest.update(part)
     return digest.digest()
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -112,6 +112,7 @@
         forwarder: Handles the requests of callers.
         callers: The connections from callers.
         listeners: The open listeners.
+        internal_servers: Connections for readiness checks and metrics.
     """
 
     def __init__(
@@ -241,9 +242,13 @@
             random,
         )
         self.callers = CallerServer(
-            self.forwarder.handle, INITIAL_LIMITS, clock
+            self.forwarder.handle,
+            INITIAL_LIMITS,
+            clock,
+            self.memory.callers,
         )
         self.listeners: list[Server] = []
+        self.internal_servers: list[CallerServer] = []
 
     async def on_start(self) -> None:
         """Starts the listeners, the calls between hosts and the gossip.
@@ -317,7 +322,11 @@
             """Calls the handler, which does not wait for anything."""
             return handler(request, connection)
 
-        return CallerServer(handle, INITIAL_LIMITS, self.clock)
+        server = CallerServer(
+            handle, INITIAL_LIMITS, self.clock, self.memory.callers
+        )
+        self.internal_servers.append(server)
+        return server
 
     @property
     def ready(self) -> bool:
@@ -429,7 +438,8 @@
         Args:
             now: Monotonic seconds.
         """
-        self.callers.enforce_timeouts(now)
+        for server in (self.callers, *self.internal_servers):
+            server.enforce_timeouts(now)
         self.pool.close_expired(now)
         self.paths.retain(
             {known.record.address for known in self.view.servers.values()}
--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -7,6 +7,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import get_running_loop
+from asyncio import open_connection as open_stream
 from asyncio import sleep
 from asyncio import Task
 from asyncio import wait_for
@@ -45,9 +46,12 @@
 # The least that the platform gives to a host process.
 MEMORY_MB = 200.0
 KIBIBYTES = 1_024
+MAX_BODY_BYTES = 67_108_864
 WAIT_S = 20.0
 TIMEOUT_MS = 8_000
 SOUND_SERVICE = 'scheduler'
+# Bytes that a caller sends before it gives up.
+STREAM_BYTES = 8_000_000
 
 
 class MeasuredHost:
@@ -126,6 +130,7 @@
         configuration = make_test_configuration(version, *routes)
         services = configuration['Services']
         services.append({**services[0], 'Name': SOUND_SERVICE})
+        configuration['Limits']['MaxBodyBytes'] = MAX_BODY_BYTES
         return configuration
 
     async def wait_until_served(self) -> None:
@@ -242,3 +247,67 @@
     with suppress(TimeoutError):
         await wait_for(gather(*host.tasks), WAIT_S)
     await check_limits(host)
+
+
+async def test_callers_with_large_bodies_fill_no_host(
+    host: MeasuredHost,
+) -> None:
+    """Each is within the limit of the configuration."""
+    body = b'x' * 60_000_000
+    for number in range(6):
+        host.begin(host.send_request(f'/long/{number}', body))
+    await check_limits(host)
+
+
+async def test_a_body_of_the_largest_size_is_served(
+    host: MeasuredHost,
+) -> None:
+    """The operator tells callers that they may send it."""
+    body = b'x' * (MAX_BODY_BYTES - 1_000)
+    response = await host.send_request('/long/1', body)
+    assert_that(response.status, Equals(200))
+    assert_that(host.backends[0].runs[-1].body == body, Equals(True))
+    await check_limits(host, 1)
+
+
+REQUEST_HEAD = f'POST /long/1 HTTP/1.1\r\nhost: {HOST_HEADER}\r\n'.encode()
+CALLER_STREAMS = {
+    'header': (REQUEST_HEAD + b'x-long: ', b'y' * 65_536),
+    'headers': (REQUEST_HEAD, b'ab:cd\r\n' * 8_192),
+    'small chunks': (
+        REQUEST_HEAD + b'transfer-encoding: chunked\r\n\r\n',
+        b'2\r\nxx\r\n' * 8_192,
+    ),
+    'fields after the body': (
+        REQUEST_HEAD + b'transfer-encoding: chunked\r\n\r\n0\r\n',
+        b'ab:cd\r\n' * 8_192,
+    ),
+    'requests without reading': (b'', REQUEST_HEAD + b'\r\n'),
+}
+
+
+async def send_stream(
+    address: tuple[str, int], head: bytes, block: bytes
+) -> None:
+    """Sends bytes until the host closes, and reads nothing."""
+    reader, writer = await open_stream(*address)
+    writer.write(head)
+    sent = 0
+    while sent < STREAM_BYTES:
+        writer.write(block)
+        await writer.drain()
+        sent += len(block)
+        await sleep(0)
+
+
+@pytest.mark.parametrize('stream', list(CALLER_STREAMS))
+async def test_callers_that_send_without_end_fill_no_host(
+    host: MeasuredHost, stream: str
+) -> None:
+    """Thirty connections at once, in every part of a request."""
+    head, block = CALLER_STREAMS[stream]
+    for _ in range(30):
+        host.begin(send_stream(host.settings.callers_listen, head, block))
+    with suppress(TimeoutError):
+        await wait_for(gather(*host.tasks), WAIT_S)
+    await check_limits(host)
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -2,6 +2,7 @@
 
 from asyncio import BaseTransport
 from asyncio import create_task
+from asyncio import get_running_loop
 from asyncio import Protocol
 from asyncio import Task
 from asyncio import Transport
@@ -11,21 +12,42 @@
 from logging import getLogger
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
+from sys import maxsize
 from typing import cast
 
 from httptools import HttpParserError
 from httptools import HttpRequestParser
 
+from cowslipmill.http1.message import Body
+from cowslipmill.http1.message import BodyBuffer
 from cowslipmill.http1.message import encode_response_head
+from cowslipmill.http1.message import HEADER_OVERHEAD_BYTES
 from cowslipmill.http1.message import Headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.outgoing import OutgoingData
+from cowslipmill.memory.budget import Holding
+from cowslipmill.memory.budget import MemoryBudget
 
 LOG = getLogger(__name__)
 
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Pipelined requests of one connection after which reading from it pauses.
 MAX_PIPELINED = 8
+# Memory that an open connection takes beside its requests, and what a request
+# takes beside its text until it is answered.
+CONNECTION_BYTES = 8_192
+REQUEST_BYTES = 8_192
+# What a head takes on the wire beyond what its limit counts.
+HEAD_MARGIN_BYTES = 1_024
+# Time for which the rest of a rejected request is read and discarded. Closing
+# at once would reset the connection, and the caller would lose the response.
+LINGER_S = 2.0
+# Longest time that a request may take to arrive; no caller waits so long.
+MAX_RECEIVE_S = 60.0
+# Retry-After of a request for which there is no memory; other hosts may have
+# some at once.
+MEMORY_RETRY_AFTER_S = 0.5
 
 
 class CallerLimits:
@@ -65,6 +87,7 @@
             connection without one.
         limits: The limits in force for all connections.
         clock: Returns monotonic seconds.
+        memory: The budget of all connections of callers.
         closing: Whether each connection is closed after its next response.
         ended: Whether no further request is handled.
         connections: The open connections.
@@ -77,6 +100,7 @@
         'ended',
         'handler',
         'limits',
+        'memory',
     )
 
     def __init__(
@@ -84,8 +108,18 @@
         handler: Handler,
         limits: CallerLimits,
         clock: Callable[[], float],
+        memory: MemoryBudget | None = None,
     ) -> None:
-        """Starts without connections."""
+        """Starts without connections.
+
+        Args:
+            handler: Returns the response to a request.
+            limits: The limits of the connections.
+            clock: Returns monotonic seconds.
+            memory: The budget of all connections of callers; None for no
+                limit.
+        """
+        self.memory = memory or MemoryBudget('unlimited', maxsize)
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -141,14 +175,28 @@
         phase_started_at: Monotonic seconds when the connection became idle or
             the first byte of the present request arrived.
         receiving: Whether a request has been received in part.
+        request_number: Number of the request that is received next.
+        unfinished_bytes: Bytes received of a head that isn't complete. The
+            parser keeps a header to itself until its line ends.
+        declared_bytes: Size of the body that the request's head announces.
         input_ended: Whether further input is ignored, since a request asked
             for the connection to be closed or was rejected.
+        holding: The memory of the connection and of the request that is being
+            received; a complete request has its own.
+        untaken_bytes: Bytes of responses that the caller had not taken at
+            `untaken_since`.
+        untaken_since: Monotonic seconds since when it has taken none of them.
     """
 
     def __init__(self, server: CallerServer) -> None:
         """Starts idle; `connection_made` sets the transport."""
         self.server = server
         self.transport: Transport | None = None
+        self.outgoing: OutgoingData | None = None
+        self.holding = Holding(server.memory, self)
+        self.request_number = 0
+        self.untaken_bytes = 0
+        self.untaken_since = 0.0
         self.disconnected = False
         self.parser = HttpRequestParser(self)
         self.pending: deque[Request] = deque()
@@ -162,9 +210,11 @@
         """Discards the parsed parts of the previous request."""
         self.target = b''
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
+        self.body = BodyBuffer()
         self.head_size = 0
-        self.body_size = 0
+        self.headers_complete = False
+        self.unfinished_bytes = 0
+        self.declared_bytes = 0
         self.input_ended = False
 
     @property
@@ -183,15 +233,20 @@
             return True
         if self.receiving and not self.input_ended:
             return True
-        return bool(self.transport and self.transport.get_write_buffer_size())
+        return self.outgoing is not None and self.outgoing.size > 0
 
     def connection_made(self, transport: BaseTransport) -> None:
         """Registers the connection and disables Nagle's algorithm."""
         self.transport = cast(Transport, transport)
-        if self.server.ended:
+        # Without a buffer of its own, the transport reports that a response
+        # was taken only when the system has all of it.
+        self.transport.set_write_buffer_limits(high=0)
+        self.outgoing = OutgoingData(self.transport)
+        if self.server.ended or not self.holding.resize(CONNECTION_BYTES):
             self.input_ended = True
             self.close()
             return
+        self.holding.allow_eviction(self.yield_memory)
         self.server.connections.add(self)
         sock = transport.get_extra_info('socket')
         if sock is not None:
@@ -201,10 +256,41 @@
         """Drops pending requests and calls `on_disconnect`."""
         self.disconnected = True
         self.server.connections.discard(self)
+        self.holding.release()
+        self.clear_request()
         self.pending.clear()
+        if self.outgoing is not None:
+            self.outgoing.discard()
         if self.on_disconnect is not None:
             self.on_disconnect()
 
+    def __str__(self) -> str:
+        """Returns what the connection is for, as written into logs."""
+        peer = None
+        if self.transport is not None:
+            peer = self.transport.get_extra_info('peername')
+        return f'request from {peer[0]}:{peer[1]}' if peer else 'request'
+
+    def yield_memory(self) -> None:
+        """Rejects the request that is being received, to make room.
+
+        An idle connection is closed.
+        """
+        if self.receiving:
+            self.reject(503)
+        else:
+            self.close()
+
+    def pause_writing(self) -> None:
+        """Stops sending until the caller has taken what was sent."""
+        if self.outgoing is not None:
+            self.outgoing.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on sending."""
+        if self.outgoing is not None:
+            self.outgoing.resume()
+
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; malformed input gets status 400."""
         if self.input_ended or self.server.ended:
@@ -212,10 +298,38 @@
         if not self.receiving:
             self.receiving = True
             self.phase_started_at = self.server.clock()
+        number = self.request_number
         try:
             self.parser.feed_data(data)
         except HttpParserError:
             self.reject(400)
+        if self.receiving and not self.input_ended:
+            if number == self.request_number and not self.headers_complete:
+                self.unfinished_bytes += len(data)
+            self.hold_request()
+
+    def hold_request(self) -> None:
+        """Counts the memory of the request that is being received.
+
+        Rejects it if its head is too large or if there is no memory for it.
+        """
+        max_head_bytes = self.server.limits.header_bytes + HEAD_MARGIN_BYTES
+        if self.unfinished_bytes > max_head_bytes:
+            self.reject(431)
+            return
+        size = (
+            CONNECTION_BYTES
+            + self.head_memory
+            + max(self.declared_bytes, len(self.body.data))
+        )
+        if not self.holding.resize(size):
+            self.reject(503)
+
+    @property
+    def head_memory(self) -> int:
+        """Memory of the target and the headers received, in bytes."""
+        overhead = HEADER_OVERHEAD_BYTES * len(self.headers)
+        return max(self.head_size, self.unfinished_bytes) + overhead
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the target."""
@@ -223,7 +337,9 @@
         self.count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds one header."""
+        """Adds one header; skips the fields after a body."""
+        if self.headers_complete or self.input_ended:
+            return
         self.headers.append((name.lower(), value))
         # The four bytes are the colon, a space and the line end.
         self.count_head_bytes(len(name) + len(value) + 4)
@@ -235,41 +351,73 @@
             self.reject(431)
 
     def on_headers_complete(self) -> None:
-        """Sends 100 Continue if the caller expects it."""
+        """Sends 100 Continue if the caller expects it.
+
+        Rejects a request whose body is announced to be too large, or for
+        which there is no memory, before the body arrives.
+        """
+        self.headers_complete = True
+        self.unfinished_bytes = 0
+        expects_continue = False
         for name, value in self.headers:
             if name == b'expect' and value.lower() == b'100-continue':
-                self.write(CONTINUE_RESPONSE)
+                expects_continue = True
+            elif name == b'content-length' and value.isdigit():
+                # The parser has checked the value.
+                self.declared_bytes = int(value)
+        if self.declared_bytes > self.server.limits.body_bytes:
+            self.reject(413)
+        else:
+            self.hold_request()
+        if expects_continue and not self.input_ended:
+            self.write(CONTINUE_RESPONSE, b'', None)
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; rejects a body beyond its limit."""
-        self.body_size += len(body)
-        if self.body_size > self.server.limits.body_bytes:
+        if self.input_ended:
+            return
+        if len(self.body.data) + len(body) > self.server.limits.body_bytes:
             self.reject(413)
             return
-        self.chunks.append(body)
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Queues the complete request and starts the task that handles it."""
         if self.input_ended:
             return
-        request = Request(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            b''.join(self.chunks),
-        )
         keep_alive = self.parser.should_keep_alive()
+        request = self.take_request()
+        if request is None:
+            self.reject(503)
+            return
         self.clear_request()
         self.input_ended = not keep_alive
         self.receiving = False
+        self.request_number += 1
         self.pending.append(request)
         if len(self.pending) >= MAX_PIPELINED and self.transport:
             self.transport.pause_reading()
         if self.task is None:
             self.task = create_task(self.serve())
 
+    def take_request(self) -> Request | None:
+        """Returns the complete request; None if there is no memory for it."""
+        size = REQUEST_BYTES + self.head_memory + len(self.body.data)
+        self.holding.resize(CONNECTION_BYTES)
+        holding = Holding(self.server.memory, str(self))
+        if not holding.resize(size):
+            return None
+        return Request(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            self.body.data,
+            holding,
+        )
+
     async def serve(self) -> None:
         """Handles the pending requests one after the other."""
+        self.holding.forbid_eviction()
         try:
             while self.pending and not (
                 self.disconnected or self.server.ended
@@ -284,7 +432,9 @@
                 close = is_last or self.server.closing
                 omit_body = request.method == b'HEAD'
                 head = encode_response_head(response, close=close)
-                self.write(head if omit_body else head + response.body)
+                body = b'' if omit_body else response.body
+                self.write(head, body, response)
+                await self.drain(response)
                 self.phase_started_at = self.server.clock()
                 if close:
                     self.close()
@@ -298,48 +448,96 @@
             self.close()
         finally:
             self.task = None
+            if not self.disconnected:
+                self.holding.allow_eviction(self.yield_memory)
+
+    async def drain(self, response: Response) -> None:
+        """Waits until the caller has taken a response.
+
+        Meanwhile the connection may be aborted to make room.
+        """
+        outgoing = self.outgoing
+        if outgoing is None or outgoing.empty:
+            return
+        self.untaken_bytes = outgoing.size
+        self.untaken_since = self.server.clock()
+        if response.holding is not None:
+            response.holding.allow_eviction(self.abort)
+        try:
+            await outgoing.drain()
+        finally:
+            if response.holding is not None:
+                response.holding.forbid_eviction()
 
     def reject(self, status: int) -> None:
         """Ignores further input, sends an error status and closes.
 
-        If an earlier request is being handled, the connection closes after
-        its response instead, and no error status is sent.
+        What the caller still sends is discarded for a while. If an earlier
+        request is being handled, the connection closes after its response
+        instead, and no error status is sent.
         """
         if self.input_ended:
             return
+        self.clear_request()
         self.input_ended = True
         self.receiving = False
-        if self.task is None:
-            response = Response(status, [], b'')
-            self.write(encode_response_head(response, close=True))
-            self.close()
+        self.holding.resize(CONNECTION_BYTES)
+        if self.task is not None or self.pending:
+            return
+        headers: Headers = []
+        if status == 503:
+            headers.append((b'retry-after', b'%.3f' % MEMORY_RETRY_AFTER_S))
+        response = Response(status, headers, b'')
+        self.write(encode_response_head(response, close=True), b'', None)
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+        get_running_loop().call_later(LINGER_S, self.close)
 
     def enforce_timeouts(self, now: float) -> None:
         """Closes the connection if its head or idle timeout has passed.
 
         A request gets status 408 if its head has not arrived in time, or no
-        part of its body. No timeout applies once a part of the body is there.
+        part of its body, or if the rest of the body takes far too long. A
+        caller that takes no part of a response for the idle timeout is
+        disconnected.
 
         Args:
             now: Monotonic seconds.
         """
+        limits = self.server.limits
+        if self.outgoing is not None and not self.outgoing.empty:
+            size = self.outgoing.size
+            if size != self.untaken_bytes:
+                self.untaken_bytes = size
+                self.untaken_since = now
+            elif now - self.untaken_since > limits.idle_s:
+                self.abort()
+            return
         if self.task is not None or self.pending:
             return
-        limits = self.server.limits
         if self.receiving:
-            if (
-                now - self.phase_started_at > limits.header_s
-                and not self.chunks
-            ):
+            timeout_s = MAX_RECEIVE_S if self.body.data else limits.header_s
+            if now - self.phase_started_at > timeout_s:
                 self.reject(408)
             return
         if now - self.phase_started_at > limits.idle_s:
             self.close()
 
-    def write(self, data: bytes) -> None:
-        """Writes to the connection unless it is lost."""
-        if self.transport is not None and not self.disconnected:
-            self.transport.write(data)
+    def write(self, head: bytes, body: Body, owner: object) -> None:
+        """Writes a message to the connection unless it is lost.
+
+        Args:
+            head: The head.
+            body: The body.
+            owner: What the body belongs to.
+        """
+        if self.outgoing is not None and not self.disconnected:
+            self.outgoing.write(head, body, owner)
+
+    def abort(self) -> None:
+        """Closes the connection at once; what was not taken is lost."""
+        if self.transport is not None:
+            self.transport.abort()
 
     def close(self) -> None:
         """Closes the connection after buffered data is sent."""
