Bound the memory of messages that wait for other hosts

Hosts that ask for the view and read no reply, as one that is suspended does, had the host that they ask hold 1,604 MiB (a real process, twelve of them, 2,000 calls each, 1,500 routes); the platform would have killed it, and cut off all its requests.

Cause: replies waited in a queue without bound, messages in one of 1,024 for each link whatever their size; a host that relays for others took 48 requests of 1 MiB each beside its own; a connection that had not shown the key could send messages of full size.

Change: what waits for other hosts is counted against one budget, with the batch that is being sent. If it is used up, the longest queue is dropped and its connection closed, so that the others get theirs; calls that can't be queued return at once. A host offers a relay only if it has memory for the request, whose size it is told (a new last field; hosts of older builds don't say, and get the answer that nothing was sent if there is no room), and relayed responses count like those of servers. Before the handshake has ended a message has 512 bytes at most.

Not bounded: messages of full size that many hosts send at once without being asked, which hosts of this program don't.

--- a/cowslipmill/fleet/rpc.py
+++ b/cowslipmill/fleet/rpc.py
@@ -12,6 +12,7 @@
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.messages import MESSAGES
 from cowslipmill.host.settings import HostSettings
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.frame import make_frame_codec
 from cowslipmill.peers.links import PeerLinks
 from cowslipmill.peers.server import PeerServer
@@ -35,18 +36,37 @@
     """
 
     def __init__(
-        self, settings: HostSettings, deployment: str, random: Random
+        self,
+        settings: HostSettings,
+        deployment: str,
+        random: Random,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        """Makes the server and the links without starting them."""
+        """Makes the server and the links without starting them.
+
+        Args:
+            settings: The settings of this process.
+            deployment: Name of the deployment.
+            random: Source of the jitter between connection attempts.
+            memory: The budget of what waits to be sent to other hosts; None
+                for no limit.
+        """
         super().__init__()
         codec = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
         host, port = settings.peer_listen
         self.handlers: dict[type, Handler] = {}
         # The deployment's name is the shared key, so that hosts of other
         # deployments are refused.
-        self.links = PeerLinks(settings.name, (deployment,), codec, random)
+        self.links = PeerLinks(
+            settings.name, (deployment,), codec, random, memory
+        )
         self.server = PeerServer(
-            f'{host}:{port}', 'peer_listen', (deployment,), codec, self.handle
+            f'{host}:{port}',
+            'peer_listen',
+            (deployment,),
+            codec,
+            self.handle,
+            memory=memory,
         )
 
     async def on_start(self) -> None:
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -154,7 +154,7 @@
             time_ns() // 1_000_000,
         )
         self.member_list = MemberList(own_member)
-        self.rpc = Rpc(settings, deployment, random)
+        self.rpc = Rpc(settings, deployment, random, self.memory.hosts)
         self.gossip = Gossip(
             self.member_list,
             self.view,
@@ -216,7 +216,9 @@
             clock,
             self.gossip.report_server_leaving,
         )
-        self.relay_server = RelayServer(direct_sender, self.rpc, clock)
+        self.relay_server = RelayServer(
+            direct_sender, self.rpc, clock, self.memory.callers
+        )
         self.sender = Sender(
             self.lease_manager,
             direct_sender,
@@ -226,6 +228,7 @@
                 self.lease_manager.rate_limits,
                 clock,
                 random,
+                self.memory.servers,
             ),
             crash_tracker,
             clock,
--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -14,6 +14,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Coroutine
 from contextlib import suppress
+from hashlib import sha256
 from pathlib import Path
 from re import search
 from signal import SIGKILL
@@ -24,7 +25,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
+from websockets.asyncio.client import connect
 
+from cowslipmill.fleet.messages import AskSnapshot
+from cowslipmill.fleet.messages import MESSAGES
+from cowslipmill.fleet.rpc import MAX_MESSAGE_BYTES
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.host.tests.conftest import DOMAINS
 from cowslipmill.host.tests.conftest import HOST_HEADER
@@ -35,6 +40,11 @@
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.launch.network import Network
+from cowslipmill.peers.batch import join_frames
+from cowslipmill.peers.frame import Frame
+from cowslipmill.peers.frame import FrameKind
+from cowslipmill.peers.frame import make_frame_codec
+from cowslipmill.peers.session import authenticate_to_server
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import StandinBackend
 from cowslipmill.standin.backend import Stream
@@ -311,3 +321,41 @@
     with suppress(TimeoutError):
         await wait_for(gather(*host.tasks), WAIT_S)
     await check_limits(host)
+
+
+async def ask_without_reading(address: tuple[str, int], name: str) -> None:
+    """Asks for the view again and again and reads no reply."""
+    codec = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
+    host, port = address
+    async with connect(f'ws://{host}:{port}', compression=None) as connection:
+        await authenticate_to_server(connection, name, ('default',))
+        connection.transport.pause_reading()
+        for number in range(100):
+            frames = [
+                codec.encode(
+                    Frame(FrameKind.CALL, 20 * number + n, AskSnapshot(0, 0))
+                )
+                for n in range(20)
+            ]
+            await connection.send(join_frames(frames))
+            await sleep(0.01)
+        await sleep(WAIT_S)
+
+
+async def test_hosts_that_read_nothing_fill_no_host(
+    host: MeasuredHost,
+) -> None:
+    """Many that start at once ask for the view, and some are suspended."""
+    routes = [
+        make_test_route(f'/{sha256(b"%d" % n).hexdigest()}/', 'safe')
+        for n in range(1_500)
+    ]
+    configuration = host.configuration(2)
+    configuration['Routes'] += routes
+    host.store.put('op/config', configuration)
+    for number in range(12):
+        host.begin(
+            ask_without_reading(host.settings.peer_listen, f'host-{number}')
+        )
+    await sleep(3.0)
+    await check_limits(host)
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -4,8 +4,6 @@
 from asyncio import Event
 from asyncio import Future
 from asyncio import get_running_loop
-from asyncio import Queue
-from asyncio import QueueFull
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -15,12 +13,13 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
-from cowslipmill.peers.batch import get_batch
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.codec import Malformed
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import Unreadable
+from cowslipmill.peers.framequeue import FrameQueue
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import SENT_BYTES
@@ -33,7 +32,6 @@
 CLOSE_TIMEOUT_S = 0.2
 MIN_RECONNECT_DELAY_S = 0.05
 MAX_RECONNECT_DELAY_S = 1.0
-MAX_QUEUED_MESSAGES = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +75,7 @@
         keys: tuple[str, ...],
         codec: FrameCodec,
         random: Random,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Initializes the link; it connects when the service starts."""
         super().__init__()
@@ -85,7 +84,8 @@
         self.keys = keys
         self.codec = codec
         self.random = random
-        self.queue: Queue[bytes] = Queue(MAX_QUEUED_MESSAGES)
+        self.queue = FrameQueue(memory, f'messages to {address}')
+        self.queue.holding.allow_eviction(self.yield_memory)
         self.connected = Event()
         self.connection: ClientConnection | None = None
         self.failures = 0
@@ -153,11 +153,17 @@
         if self.connection is not None:
             self.connection.transport.abort()
 
+    def yield_memory(self) -> None:
+        """Drops what is queued to make room, and connects anew."""
+        self.drop_queued()
+        self.abort()
+        self.queue.holding.allow_eviction(self.yield_memory)
+
     async def send_queued(self, connection: ClientConnection) -> None:
         """Sends queued frames in batches until the connection ends."""
         try:
             while True:
-                raw = await get_batch(self.queue, self.codec.max_bytes)
+                raw = await self.queue.take_batch(self.codec.max_bytes)
                 SENT_BYTES.inc(len(raw))
                 await connection.send(raw)
         except WebSocketException:
@@ -184,9 +190,7 @@
 
     def drop_queued(self) -> None:
         """Drops the frames still queued when the connection ended."""
-        while not self.queue.empty():
-            self.queue.get_nowait()
-            DROPPED_MESSAGES.labels('peer-left').inc()
+        DROPPED_MESSAGES.labels('peer-left').inc(self.queue.clear())
 
     def fail_calls(self, reason: str) -> None:
         """Resolves every pending call with `Unreachable`."""
@@ -216,9 +220,7 @@
         if self.failures and not self.connected.is_set():
             DROPPED_MESSAGES.labels('unreachable').inc()
             return False
-        try:
-            self.queue.put_nowait(raw)
-        except QueueFull:
+        if not self.queue.put(raw):
             DROPPED_MESSAGES.labels('queue-full').inc()
             return False
         return True
--- a/cowslipmill/peers/links.py
+++ b/cowslipmill/peers/links.py
@@ -5,6 +5,7 @@
 
 from mode import Service
 
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.link import encode_notification
 from cowslipmill.peers.link import Link
@@ -22,6 +23,7 @@
         keys: Shared keys; the first one signs.
         codec: Codec of the frames.
         random: Source of the jitter between connection attempts.
+        memory: The budget of what waits to be sent; None for no limit.
         links: Links by the peer's address.
     """
 
@@ -31,9 +33,11 @@
         keys: tuple[str, ...],
         codec: FrameCodec,
         random: Random,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Initializes the collection without any link."""
         super().__init__()
+        self.memory = memory
         self.name = name
         self.keys = keys
         self.codec = codec
@@ -52,7 +56,14 @@
             return link
         if len(self.links) >= MAX_LINKS or self.should_stop:
             return None
-        link = Link(address, self.name, self.keys, self.codec, self.random)
+        link = Link(
+            address,
+            self.name,
+            self.keys,
+            self.codec,
+            self.random,
+            self.memory,
+        )
         self.links[address] = link
         await self.add_runtime_dependency(link)
         return link
@@ -135,3 +146,4 @@
         if link is not None:
             await self.remove_dependency(link)
             await link.stop()
+            link.queue.holding.release()
--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -2,7 +2,6 @@
 
 from asyncio import create_task
 from asyncio import get_running_loop
-from asyncio import Queue
 from asyncio import Task
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -14,12 +13,13 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
-from cowslipmill.peers.batch import get_batch
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.codec import Malformed
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import Unreadable
+from cowslipmill.peers.framequeue import FrameQueue
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import REFUSED_CONNECTIONS
@@ -27,6 +27,7 @@
 from cowslipmill.peers.rate import RateLimit
 from cowslipmill.peers.session import authenticate_client
 from cowslipmill.peers.session import HandshakeFailed
+from cowslipmill.peers.session import MAX_HANDSHAKE_BYTES
 from cowslipmill.runtime.address import split_address
 from cowslipmill.runtime.program import ListenError
 
@@ -35,6 +36,8 @@
 MAX_OPEN_CALLS = 1024
 MAX_MESSAGES_PER_SECOND = 20_000.0
 CLOSE_TIMEOUT_S = 0.5
+# Messages of a connection that are received before one has been handled.
+MAX_RECEIVED_AHEAD = 4
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -51,6 +54,7 @@
             reply to a call.
         max_messages_per_second: Rate limit per connection in frames per
             second; a connection that exceeds it is closed.
+        memory: The budget of replies that wait to be sent; None for no limit.
         connections: Open connections.
     """
 
@@ -63,9 +67,11 @@
         handler: Handler,
         *,
         max_messages_per_second: float = MAX_MESSAGES_PER_SECOND,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Initializes the server; it listens when the service starts."""
         super().__init__()
+        self.memory = memory
         self.address = address
         self.field = field
         self.keys = keys
@@ -86,7 +92,8 @@
             host,
             port,
             compression=None,
-            max_size=self.codec.max_bytes,
+            max_size=MAX_HANDSHAKE_BYTES,
+            max_queue=MAX_RECEIVED_AHEAD,
             close_timeout=CLOSE_TIMEOUT_S,
         )
         try:
@@ -103,6 +110,7 @@
         self.connections.add(connection)
         try:
             peer_name = await authenticate_client(connection, self.keys)
+            connection.protocol.max_message_size = self.codec.max_bytes
             await self.receive_messages(connection, peer_name)
         except HandshakeFailed as error:
             REFUSED_CONNECTIONS.labels('handshake').inc()
@@ -127,10 +135,13 @@
         """
         clock = get_running_loop().time
         limit = RateLimit(self.max_messages_per_second, clock())
-        replies: Queue[bytes] = Queue()
+        replies = FrameQueue(self.memory, f'replies to {peer_name}')
+        replies.holding.allow_eviction(connection.transport.abort)
         sender = create_task(self.send_replies(connection, replies))
         calls: set[Task[None]] = set()
         try:
+            if not replies.open():
+                return
             async for raw in connection:
                 for frame in self.decode(raw):
                     if not limit.allow(clock()):
@@ -141,18 +152,19 @@
         finally:
             for task in (sender, *calls):
                 task.cancel()
+            replies.holding.release()
 
     async def send_replies(
-        self, connection: ServerConnection, replies: 'Queue[bytes]'
+        self, connection: ServerConnection, replies: FrameQueue
     ) -> None:
         """Sends queued replies in batches until the connection ends."""
         try:
             while True:
-                raw = await get_batch(replies, self.codec.max_bytes)
+                raw = await replies.take_batch(self.codec.max_bytes)
                 SENT_BYTES.inc(len(raw))
                 await connection.send(raw)
         except ConnectionClosed:
-            DROPPED_MESSAGES.labels('peer-left').inc(replies.qsize() + 1)
+            DROPPED_MESSAGES.labels('peer-left').inc(replies.clear() + 1)
 
     def decode(self, raw: str | bytes) -> list[Frame[Any]]:
         """Returns the frames of a WebSocket message, none if malformed."""
@@ -170,7 +182,7 @@
         self,
         frame: Frame[Any],
         peer_name: str,
-        replies: 'Queue[bytes]',
+        replies: FrameQueue,
         calls: set[Task[None]],
     ) -> None:
         """Handles one frame.
@@ -184,7 +196,7 @@
             DROPPED_MESSAGES.labels('unreadable').inc()
             if frame.kind is FrameKind.CALL:
                 reply = Frame[Any](FrameKind.REPLY, frame.call_id, None)
-                replies.put_nowait(self.codec.encode(reply))
+                replies.put(self.codec.encode(reply))
             return
         if frame.kind is FrameKind.NOTIFICATION:
             await self.run_handler(frame.message, peer_name)
@@ -210,12 +222,12 @@
             return None
 
     async def reply_to_call(
-        self, frame: Frame[Any], peer_name: str, replies: 'Queue[bytes]'
+        self, frame: Frame[Any], peer_name: str, replies: FrameQueue
     ) -> None:
         """Runs the handler for one call and queues its reply.
 
         The reply carries None if the handler raised or its result is larger
-        than the size limit.
+        than the size limit or than the memory that is left.
         """
         message = await self.run_handler(frame.message, peer_name)
         try:
@@ -227,4 +239,9 @@
             raw = self.codec.encode(
                 Frame(FrameKind.REPLY, frame.call_id, None)
             )
-        replies.put_nowait(raw)
+        if not replies.put(raw):
+            DROPPED_MESSAGES.labels('queue-full').inc()
+            raw = self.codec.encode(
+                Frame(FrameKind.REPLY, frame.call_id, None)
+            )
+            replies.put(raw)
--- a/cowslipmill/peers/tests/test_links.py
+++ b/cowslipmill/peers/tests/test_links.py
@@ -2,6 +2,7 @@
 
 from asyncio import gather
 from asyncio import sleep
+from asyncio import start_server
 from collections.abc import AsyncIterator
 from random import Random
 from typing import Any
@@ -12,9 +13,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
 from websockets.asyncio.client import connect
 
 from cowslipmill.launch.network import Network
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.frame import make_frame_codec
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.peers.links import PeerLinks
@@ -38,7 +41,13 @@
     peer: str
 
 
-CODEC = make_frame_codec((Ping, Pong), max_bytes=4096)
+class Blob(Struct, frozen=True, tag='blob'):
+    """A message of any size."""
+
+    data: bytes
+
+
+CODEC = make_frame_codec((Ping, Pong, Blob), max_bytes=4096)
 
 
 async def reply_to_ping(message: Any, peer: str) -> Pong:
@@ -151,6 +160,25 @@
         await connection.wait_closed()
 
 
+@pytest.mark.asyncio
+async def test_a_peer_that_reads_nothing_leaves_room_for_others() -> None:
+    """What waits for many such peers filled the process."""
+    memory = MemoryBudget('hosts', 400_000)
+    silent = await start_server(lambda reader, writer: None, '127.0.0.1', 0)
+    port = silent.sockets[0].getsockname()[1]
+    message = Blob(b'x' * 3_000)
+    async with PeerLinks('one', (KEY,), CODEC, Random(1), memory) as links:
+        link = await links.get_or_open(f'127.0.0.1:{port}')
+        assert link is not None
+        sent = [link.send(message) for _ in range(1_000)]
+        other = await links.get_or_open(ADDRESS)
+        assert other is not None
+        assert_that(other.send(message), Equals(True))
+    silent.close()
+    assert_that(sent.count(True), LessThan(140))
+    assert_that(memory.peak_bytes, LessThan(400_001))
+
+
 class Novelty(Struct, frozen=True, tag='novelty'):
     """A call that only the client knows."""
 
--- a/cowslipmill/relays/messages.py
+++ b/cowslipmill/relays/messages.py
@@ -22,10 +22,13 @@
     Attributes:
         grant: The lease for the request.
         deadline_s: Seconds left until the caller stops waiting.
+        body_bytes: Size of the request's body; 0 also if a host of an older
+            build asks.
     """
 
     grant: Grant
     deadline_s: float
+    body_bytes: int = 0
 
 
 class RelayOffer(Struct, frozen=True, array_like=True, tag='relay-offer'):
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -15,6 +15,8 @@
 from cowslipmill.http1.message import Response
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.ratelimits import RateLimits
+from cowslipmill.memory.budget import Holding
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.relays.messages import AskRelay
 from cowslipmill.relays.messages import BUSY
@@ -39,6 +41,8 @@
 REFUSAL_BACKOFF_S = {BUSY: 0.1, ISOLATED: 0.5, STOPPING: 10.0}
 # Largest body that is sent by way of another host.
 MAX_BODY_BYTES = 1_048_576
+# Memory that a response takes beside its body.
+RESPONSE_BYTES = 4_096
 
 RELAYS = Counter(
     'cowslipmill_host_relays_total',
@@ -55,6 +59,7 @@
         rpc: Calls between hosts.
         rate_limits: Learns what other hosts know of servers' rate limits.
         random: Spreads the requests over the hosts.
+        memory: The budget that responses count against.
         refused_until: Until when hosts that refused aren't asked, in
             monotonic seconds, by name.
     """
@@ -66,8 +71,10 @@
         rate_limits: RateLimits,
         clock: Callable[[], float],
         random: Random,
+        memory: MemoryBudget,
     ) -> None:
         """Starts without refusals."""
+        self.memory = memory
         self.member_list = member_list
         self.rpc = rpc
         self.rate_limits = rate_limits
@@ -133,7 +140,9 @@
         grant = attempt.grant
         remaining_s = attempt.context.deadline_at - self.clock()
         offer = await self.rpc.call(
-            member.address, AskRelay(grant, remaining_s), OFFER_TIMEOUT_S
+            member.address,
+            AskRelay(grant, remaining_s, len(attempt.context.request.body)),
+            OFFER_TIMEOUT_S,
         )
         if not isinstance(offer, RelayOffer):
             self.cancel(member, grant.key)
@@ -179,7 +188,12 @@
             self.cancel(member, attempt.grant.key)
             raise
         if isinstance(reply, RelayResponse):
-            return Response(reply.status, list(reply.headers), reply.body)
+            holding = Holding(self.memory, f'relayed by {member.name}')
+            if not holding.resize(RESPONSE_BYTES + len(reply.body)):
+                return Lost(server, 'memory limit', False)
+            return Response(
+                reply.status, list(reply.headers), reply.body, holding
+            )
         if isinstance(reply, RelayFailure) and reply.sent:
             return Lost(server, reply.reason, reply.reset, reply.idle)
         if isinstance(reply, Unreachable) and reply.sent:
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -17,10 +17,13 @@
 from cowslipmill.forwarding.directsender import DirectSender
 from cowslipmill.forwarding.requestcontext import OutgoingRequest
 from cowslipmill.forwarding.sendresult import Lost
+from cowslipmill.http1.callerconnection import REQUEST_BYTES
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
+from cowslipmill.memory.budget import Holding
+from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.relays.messages import AskRelay
 from cowslipmill.relays.messages import BUSY
 from cowslipmill.relays.messages import CancelRelay
@@ -57,19 +60,25 @@
         grant: The lease for the request.
         deadline_at: When the request's caller stops waiting.
         expires_at: Until when the offer may be used.
+        holding: The memory set aside for the request.
 
     All times are monotonic seconds.
     """
 
-    __slots__ = ('deadline_at', 'expires_at', 'grant')
+    __slots__ = ('deadline_at', 'expires_at', 'grant', 'holding')
 
     def __init__(
-        self, grant: Grant, deadline_at: float, expires_at: float
+        self,
+        grant: Grant,
+        deadline_at: float,
+        expires_at: float,
+        holding: Holding,
     ) -> None:
         """Stores the values."""
         self.grant = grant
         self.deadline_at = deadline_at
         self.expires_at = expires_at
+        self.holding = holding
 
 
 class RelayServer:
@@ -77,16 +86,22 @@
 
     Attributes:
         direct: Sends over this host's own connections.
+        memory: The budget that requests count against.
         offers: Open offers by lease key.
         in_progress: Requests being sent, by lease key.
         stopping: Whether this host stops and makes no further offers.
     """
 
     def __init__(
-        self, direct: DirectSender, rpc: Rpc, clock: Callable[[], float]
+        self,
+        direct: DirectSender,
+        rpc: Rpc,
+        clock: Callable[[], float],
+        memory: MemoryBudget,
     ) -> None:
         """Registers the message handlers."""
         self.direct = direct
+        self.memory = memory
         self.clock = clock
         self.offers: dict[LeaseKey, Offer] = {}
         self.in_progress: dict[LeaseKey, Task[Any]] = {}
@@ -112,6 +127,11 @@
         self.drop_expired_offers(now)
         grant = message.grant
         refused = self.find_objection(grant)
+        holding = Holding(self.memory, f'relay for {sender}')
+        if not refused and not holding.resize(
+            REQUEST_BYTES + message.body_bytes
+        ):
+            refused = BUSY
         RELAYED.labels(refused or 'offered').inc()
         if refused:
             limit = self.direct.lease_manager.rate_limits.report(
@@ -119,7 +139,10 @@
             )
             return RelayOffer(refused, limit)
         self.offers[grant.key] = Offer(
-            grant, now + message.deadline_s, now + OFFER_LIFETIME_S
+            grant,
+            now + message.deadline_s,
+            now + OFFER_LIFETIME_S,
+            holding,
         )
         return RelayOffer('')
 
@@ -151,6 +174,9 @@
         offer = self.offers.pop(message.key, None)
         if offer is None or now > offer.expires_at:
             return RelayFailure(False, 'offer expired')
+        size = REQUEST_BYTES + len(message.body)
+        if not offer.holding.resize(size):
+            return RelayFailure(False, 'memory limit')
         task = current_task()
         assert task is not None
         self.in_progress[message.key] = task
@@ -172,6 +198,7 @@
             message.target,
             list(message.headers),
             message.body,
+            offer.holding,
         )
         outgoing = OutgoingRequest(request, message.request_id, deadline_at)
         try:
