Follow the store after changes that are too large for one response

What callers saw: hosts that followed the store no longer, here after twelve entries of 1 MiB were written at once: a new route was still unknown 20 s later.

Cause: a watch returns all changes since a revision. Beyond the 8 MiB that a host takes of a response, it failed as if the store were away, and was sent again for the same revision, until the store forgot that history.

Change: changes that are too large are read as a whole, page by page, as after a gap. A full read has 64 pages at most, and a view 4,096 servers.

--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -359,3 +359,27 @@
         )
     await sleep(3.0)
     await check_limits(host)
+
+
+async def test_entries_of_other_writers_fill_no_host(
+    host: MeasuredHost,
+) -> None:
+    """As large as the store takes them, and many times larger as objects.
+
+    The host follows the store all the while, though it can't take all changes
+    at once.
+    """
+    host.store.page_size = 1
+    entry = b'{"State": [' + b'[],' * 340_000 + b'[]]}'
+    for number in range(12):
+        host.store.put_raw(f'servers/odd-{number}', entry)
+    await check_limits(host)
+    configuration = host.configuration(2)
+    configuration['Routes'].append(
+        make_test_route('/new/', 'unsafe', Service=SOUND_SERVICE)
+    )
+    host.store.put('op/config', configuration)
+    deadline = get_running_loop().time() + WAIT_S
+    while (await host.send_request('/new/1')).status != 200:
+        assert get_running_loop().time() < deadline, 'not followed in time'
+        await sleep(0.1)
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -67,6 +67,14 @@
         self.reset = reset
 
 
+class ResponseTooLarge(ExchangeFailed):
+    """A response is larger than a host takes."""
+
+    def __init__(self) -> None:
+        """Creates the error."""
+        super().__init__('answer exceeds its bound', reset=False)
+
+
 class ServerConnection(Protocol):
     """A connection to a server that carries one request at a time.
 
@@ -206,7 +214,7 @@
         if self.headers_complete and self.status >= 200:
             max_bytes = MAX_HEAD_BYTES + MAX_RESPONSE_BYTES
         if self.received_bytes > max_bytes:
-            self.fail('answer exceeds its bound', reset=False)
+            self.fail_with(ResponseTooLarge())
             return
         held_bytes = CONNECTION_BYTES + self.head_bytes + len(self.body.data)
         if not self.holding.resize(held_bytes):
@@ -242,7 +250,7 @@
         self.headers.append((name, value))
         self.head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self.head_bytes > MAX_HEAD_MEMORY_BYTES:
-            self.fail('answer exceeds its bound', reset=False)
+            self.fail_with(ResponseTooLarge())
 
     def on_headers_complete(self) -> None:
         """Stores the status."""
@@ -254,7 +262,7 @@
         if self.pending_response is None:
             return
         if len(self.body.data) + len(body) > MAX_RESPONSE_BYTES:
-            self.fail('answer exceeds its bound', reset=False)
+            self.fail_with(ResponseTooLarge())
             return
         self.body.append(body)
 
@@ -347,10 +355,14 @@
             reason: Written to logs and metrics.
             reset: Whether the server or the network closed the connection.
         """
+        self.fail_with(ExchangeFailed(reason, reset=reset))
+
+    def fail_with(self, error: ExchangeFailed) -> None:
+        """Fails the open request with an error, if there is one; closes."""
         self.reusable = False
         pending, self.pending_response = self.pending_response, None
         if pending is not None and not pending.done():
-            pending.set_exception(ExchangeFailed(reason, reset=reset))
+            pending.set_exception(error)
         self.close()
 
     def close(self) -> None:
--- a/cowslipmill/platform/storeapi.py
+++ b/cowslipmill/platform/storeapi.py
@@ -33,6 +33,9 @@
 SERVER_PREFIX = 'servers/'
 GONE_STATUS = 410
 MAX_ERA = 2**18
+MAX_ERA_DIGITS = 6
+# How much of a key that can't be used is kept.
+MAX_KEY_CHARACTERS = 200
 
 
 class PlatformStoreApi:
@@ -139,7 +142,7 @@
     text = response.header(STORE_ERA).strip()
     if not text:
         return 0
-    if not text.isdigit() or int(text) > MAX_ERA:
+    if not text.isdigit() or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
         raise InvalidField(STORE_ERA.decode(), f'not an era: {text[:40]!r}')
     return int(text)
 
@@ -170,7 +173,8 @@
     events: list[StoreEvent] = []
     invalid: list[InvalidEntry] = []
     for item in items:
-        key = str(item.get('Key', ''))
+        key = item.get('Key')
+        key = key[:MAX_KEY_CHARACTERS] if isinstance(key, str) else ''
         try:
             event = decode_entry(key, item, era)
         except InvalidField as error:
--- a/cowslipmill/view/events.py
+++ b/cowslipmill/view/events.py
@@ -103,6 +103,8 @@
 
     Attributes:
         reason: Description of the failure, for log lines.
+        too_large: Whether the response was larger than a host takes.
     """
 
     reason: str
+    too_large: bool = False
--- a/cowslipmill/view/reader.py
+++ b/cowslipmill/view/reader.py
@@ -13,6 +13,7 @@
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
+from cowslipmill.http1.serverconnection import ResponseTooLarge
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.view.events import EntryChanges
@@ -33,6 +34,8 @@
 # configurations have to be known within 2 s, also if this host's connection
 # stalls and another host has to take over reading.
 WATCH_S = 0.8
+# Pages of a full read, of some 500 entries each.
+MAX_PAGES = 64
 
 STORE_CALLS = Counter(
     'cowslipmill_host_store_calls_total',
@@ -133,6 +136,9 @@
         request = self.store.build_changes_request(since, WATCH_S)
         response = await self.call(request, WATCH_S)
         if isinstance(response, StoreUnavailable):
+            if response.too_large:
+                LOG.info('changes too large', extra={'revision': since})
+                return await self.read_all()
             return self.on_store_lost(response)
         changes = self.store.parse_changes(response)
         if isinstance(changes, StoreUnavailable):
@@ -169,7 +175,7 @@
         next_key = ''
         names: set[str] = set()
         events: list[StoreEvent] = []
-        while True:
+        for _ in range(MAX_PAGES):
             response = await self.call(self.store.build_page_request(next_key))
             if isinstance(response, StoreUnavailable):
                 return self.on_store_lost(response)
@@ -185,6 +191,8 @@
             next_key = page.next_key
             if not next_key:
                 break
+        else:
+            return self.on_store_lost(StoreUnavailable('too many pages'))
         names |= {
             event.record.name
             for event in events
@@ -234,7 +242,9 @@
                 connection.close()
             self.connection = None
             STORE_CALLS.labels('failed').inc()
-            return StoreUnavailable(f'{type(error).__name__}: {error}')
+            too_large = isinstance(error, ResponseTooLarge)
+            reason = f'{type(error).__name__}: {error}'
+            return StoreUnavailable(reason, too_large)
         STORE_CALLS.labels('answered').inc()
         return response
 
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -40,6 +40,9 @@
 # Maximum number of servers that have left whose starts are kept, for a copy of
 # the store that is some seconds old.
 MAX_DEPARTED_SERVERS = 512
+# Servers beyond this number are not used; the largest deployments have some
+# hundreds.
+MAX_SERVERS = 4_096
 
 
 class Snapshot(Struct, frozen=True, array_like=True, tag='snapshot'):
@@ -182,6 +185,9 @@
             record = replace(record, leaving=True)
         known = self.servers.get(record.name)
         if known is None:
+            if len(self.servers) >= MAX_SERVERS:
+                LOG.warning('too many servers', extra={'server': record.name})
+                return False
             self.servers[record.name] = KnownServer(record, event.revision)
             return True
         if event.revision == known.revision:
