End a connection with a refusal

What an operator of a similar system reported: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told "not run" of requests that run. Here a copy with another request's id is skipped, and a connection is not used again after a refusal without an id. But a refusal with an id left its connection in use, and its copy then answered the same request when its caller sent it again with the same id: 503 for a request that the server was running.

Change: a connection is closed after a response that says that the request was not executed. Servers of the platform name no id in these, so that their connections ended before as well.

--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -50,6 +50,15 @@
     buckets=(0.001, 0.002, 0.004, 0.008, 0.02, 0.05, 0.1, 0.2),
 )
 
+# Responses that say that the server did not execute the request. A copy of
+# one would answer the same request if that came again on the connection.
+REFUSED_CLASSES = frozenset(
+    (
+        ResponseClass.SHED,
+        ResponseClass.WRONG_SERVER,
+        ResponseClass.NOT_ACCEPTED,
+    )
+)
 # Responses that may not be from the server that the request was sent to.
 OTHER_SENDER_CLASSES = frozenset(
     (ResponseClass.WRONG_SERVER, ResponseClass.UNVERIFIED)
@@ -220,9 +229,12 @@
         self.paths.record_reached(
             server.address, connection.opened_at, self.clock()
         )
+        sent = self.classify(server, response)
+        if sent.response_class in REFUSED_CLASSES:
+            connection.close()
         max_idle = self.max_idle_connections(server.service)
         self.pool.release(server.address, connection, max_idle=max_idle)
-        return self.classify(server, response)
+        return sent
 
     def check_overdue_path(self, server: ServerRecord, sent_at: float) -> None:
         """Checks the path to a server that hasn't responded since a time."""
