Serve requests whatever Keep-Alive time servers name

What callers saw: every request was refused with 503 if the responses of the servers named a Keep-Alive timeout of more than 4,300 digits.

Cause: the conversion raised an error inside the parser, after the request had been taken from the connection, so that nothing completed it; the responses to load probes were lost in the same way, and no server had a slot.

Change: a timeout of more than nine digits counts as none.

Test: host/tests/test_requests.py, which failed before (503 for all).

--- a/cowslipmill/host/tests/test_requests.py
+++ b/cowslipmill/host/tests/test_requests.py
@@ -272,3 +272,13 @@
         await sleep(0.3)
     assert_that(statuses[-1], Equals(503))
     assert_that(fleet.execution_count(), LessThan(5))
+
+
+async def test_a_keep_alive_time_of_any_length_loses_no_response(
+    fleet: Fleet,
+) -> None:
+    """A number too large to convert left the request without an answer."""
+    for backend in fleet.backends.values():
+        backend.keep_alive = '9' * 5_000
+    responses = [await fleet.send_request(f'/book/{n}') for n in range(4)]
+    assert_that({r.status for r in responses}, Equals({200}))
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -50,6 +50,8 @@
 # Idle time after which a connection is not used again, whether the server
 # announces no timeout or a longer one.
 MAX_IDLE_S = 8.0
+# A Keep-Alive timeout of more digits is longer than any that counts.
+MAX_TIMEOUT_DIGITS = 9
 
 
 class ConnectFailed(Exception):
@@ -334,7 +336,8 @@
         keep_alive = response.header(b'keep-alive')
         if b'timeout=' in keep_alive:
             seconds = keep_alive.partition(b'timeout=')[2].partition(b',')[0]
-            if seconds.strip().isdigit():
+            seconds = seconds.strip()
+            if seconds.isdigit() and len(seconds) <= MAX_TIMEOUT_DIGITS:
                 timeout_s = min(
                     timeout_s, int(seconds) - IDLE_TIMEOUT_MARGIN_S
                 )
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -177,6 +177,7 @@
             closes; None if it answers.
         streams_health: Whether it does so also if asked for its health.
         longest_stream: Most bytes that it sent so.
+        keep_alive: Timeout that its answers name; empty for none.
         refusals_have_id: Whether its refusals name the request.
         repeat: When it sends its last refusal on a connection once more, as it
             works on another request there; None for never.
@@ -216,6 +217,7 @@
         self.streams_health = False
         self.longest_stream = 0
         self.refusals_have_id = False
+        self.keep_alive = ''
         self.refusals: dict[StreamWriter, bytes] = {}
         self.repeat: Repeat | None = None
         self.repeats_sent = 0
@@ -541,6 +543,8 @@
         load = f'{self.running},0,{self.slots},{percent}'
         if self.says_leaving:
             head += 'server-leaving: 1\r\n'
+        if self.keep_alive:
+            head += f'keep-alive: timeout={self.keep_alive}\r\n'
         lines = (
             f'HTTP/1.1 {status} Status\r\n{head}x-server-load: {load}\r\n'
             f'content-length: {len(body)}\r\n\r\n'
