Answer requests that wait when their host stops

Cause: whether a request outlasts its host was decided only when it arrived. One that waited already, for the end of a pause or for a slot, or whose server never answered, went on to its own deadline, and the process ended before.

Change: when a host begins to stop, requests whose servers pause for longer than it runs are refused at once, so that another host can take them; all others are answered 0.1 s before the end, as not run if nothing was sent, else as unknown. No sooner, since servers may still answer.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -2,12 +2,15 @@
 
 from asyncio import CancelledError
 from asyncio import create_task
+from asyncio import Event
 from asyncio import FIRST_COMPLETED
 from asyncio import sleep
 from asyncio import Task
+from asyncio import Timeout
 from asyncio import timeout_at
 from asyncio import wait
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 from cowslipmill.forwarding.attempts import Attempts
@@ -50,6 +53,8 @@
 FAILED_RETRY_AFTER_S = 0.02
 # Retry-After while this host stops; other hosts can take the request at once.
 STOPPING_RETRY_AFTER_S = 0.01
+# Time before the end of this host at which the last requests are answered.
+ANSWER_MARGIN_S = 0.1
 # Retry-After of a host that starts and doesn't know the suspect requests yet;
 # most hosts that start know them within this time.
 STARTING_RETRY_AFTER_S = 0.1
@@ -84,6 +89,8 @@
         caller_timeouts: Statistics of the timeouts of callers, by route.
         stop_at: When this host stops, in monotonic seconds; infinity unless
             it is stopping. A request with a later deadline is refused.
+        stopping: Set when this host begins to stop.
+        timers: The timeouts of the requests in progress.
     """
 
     def __init__(
@@ -125,6 +132,25 @@
         self.route_table: RouteTable | None = None
         self.route_table_version = 0
         self.stop_at = float('inf')
+        self.stopping = Event()
+        self.timers: set[Timeout] = set()
+
+    def stop(self, stop_at: float) -> None:
+        """Has the requests in progress end before this host does.
+
+        Those that wait for a server learn now whether they still get one;
+        all others are answered as unknown shortly before the end.
+
+        Args:
+            stop_at: When this host stops, in monotonic seconds.
+        """
+        self.stop_at = stop_at
+        self.stopping.set()
+        answer_at = stop_at - ANSWER_MARGIN_S
+        for timer in self.timers:
+            when = timer.when()
+            if when is not None and when > answer_at and not timer.expired():
+                timer.reschedule(answer_at)
 
     async def handle(
         self, request: Request, connection: CallerConnection
@@ -219,20 +245,26 @@
                 context.fingerprints
             )
             return self.refuse(context, 'suspect', retry_after_s)
+        timer = timeout_at(context.deadline_at + DEADLINE_GRACE_S)
+        self.timers.add(timer)
         try:
-            async with timeout_at(context.deadline_at + DEADLINE_GRACE_S):
+            async with timer:
                 return await self.send_with_retries(context)
         except TimeoutError:
             awaited = (
                 'answer' if context.attempts.may_have_executed else 'slot'
             )
             reason = f'no {awaited} in time'
+            if self.clock() < context.deadline_at:
+                reason = f'no {awaited} before the host stops'
             return self.give_up(
                 context, reason, FAILED_RETRY_AFTER_S, status=504
             )
         except CancelledError:
             self.request_log.cancelled(context, self.clock())
             raise
+        finally:
+            self.timers.discard(timer)
 
     async def send_with_retries(self, context: RequestContext) -> Response:
         """Sends a request until no further attempt is useful or allowed."""
@@ -343,7 +375,22 @@
                 return None
             if not may_wait or until >= context.deadline_at:
                 return Refusal(('', 0), 'servers pause', until - now, 0)
-            await sleep(until - now)
+            if until >= self.stop_at:
+                return Refusal(('', 0), 'stopping', STOPPING_RETRY_AFTER_S, 0)
+            await self.wait_until(until)
+
+    async def wait_until(self, until: float) -> None:
+        """Waits until a time, or until this host begins to stop.
+
+        Args:
+            until: Monotonic seconds.
+        """
+        if self.stopping.is_set():
+            await sleep(until - self.clock())
+            return
+        with suppress(TimeoutError):
+            async with timeout_at(until):
+                await self.stopping.wait()
 
     async def may_send(self, context: RequestContext) -> bool:
         """Returns whether a request may be sent now.
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -526,7 +526,8 @@
 
         Callers still connect until the platform has noticed that this host is
         not ready, so it goes on serving for at least that long. A request that
-        is still being handled when the time to stop runs out is interrupted.
+        is still being handled when the time to stop runs out is answered:
+        refused if it has reached no server, else as unknown.
         """
         self.stopping = True
         self.relay_server.stopping = True
@@ -535,7 +536,7 @@
         LOG.info('stopping', extra={'open': len(self.callers.connections)})
         self.gossip.announce_leaving()
         end_at = started_at + (1.0 - EXIT_TIME_FRACTION) * self.settings.stop_s
-        self.forwarder.stop_at = end_at
+        self.forwarder.stop(end_at)
         while self.clock() < end_at:
             await sleep(DRAIN_POLL_INTERVAL_S)
             now = self.clock()
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -22,9 +22,11 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
+from cowslipmill.host.host import Host
 from cowslipmill.host.host import READINESS_NOTICE_S
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.host.tests.conftest import DOMAINS
+from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import HOST_HEADER
 from cowslipmill.host.tests.conftest import make_test_configuration
 from cowslipmill.host.tests.conftest import make_test_route
@@ -305,3 +307,65 @@
     writer.close()
     assert_that(await stopping, Equals(0))
     assert_that(answer[:9], Equals(b'HTTP/1.1 '))
+
+
+@pytest_asyncio.fixture
+async def long_fleet(fleet: Fleet) -> Fleet:
+    """Starts a host whose requests may outlast its stop."""
+    route = make_test_route('/long/', 'unsafe', timeout_ms=6_000)
+    fleet.store.put('op/config', make_test_configuration(2, route))
+    await fleet.wait_until(lambda: fleet.hosts[0].view.version == 2)
+    return fleet
+
+
+async def drain(host: Host) -> None:
+    """Stops a host and closes its connections, as the process does."""
+    await host.drain()
+    for connection in list(host.callers.connections):
+        connection.close()
+
+
+@pytest.mark.parametrize('waits_for', ['pause', 'slot'])
+async def test_a_request_that_waits_is_refused_when_its_host_stops(
+    long_fleet: Fleet, waits_for: str
+) -> None:
+    """It reached no server, and its caller was told nothing of that."""
+    fleet = long_fleet
+    backends = list(fleet.backends.values())
+    if waits_for == 'pause':
+        for server in fleet.hosts[0].view.servers.values():
+            pauses = fleet.hosts[0].path_checker.pauses
+            pauses.record(server.record, 4.0, fleet.hosts[0].clock())
+    else:
+        for backend in backends:
+            backend.work_s = 5.5
+    requests = [
+        create_task(fleet.send_request(f'/long/{n}', deadline_ms=6_000))
+        for n in range(8)
+    ]
+    await sleep(0.1)
+    await drain(fleet.hosts[0])
+    responses = await gather(*requests)
+    ran = {run.request_id for b in backends for run in b.runs}
+    for response in responses:
+        executed = response.header(b'x-request-id').decode() in ran
+        assert_that(response.status, Equals(504 if executed else 503))
+    assert_that(len(ran), Equals(0 if waits_for == 'pause' else 4))
+
+
+async def test_a_request_that_can_not_outwait_its_host_is_refused_at_once(
+    long_fleet: Fleet,
+) -> None:
+    """Another host can take it while its caller still waits."""
+    fleet = long_fleet
+    host = fleet.hosts[0]
+    for server in host.view.servers.values():
+        host.path_checker.pauses.record(server.record, 4.0, host.clock())
+    request = create_task(fleet.send_request('/long/1', deadline_ms=6_000))
+    await sleep(0.1)
+    assert_that(request.done(), Equals(False))
+    stopping = create_task(drain(host))
+    await sleep(0.1)
+    assert_that(request.done(), Equals(True))
+    assert_that(request.result().status, Equals(503))
+    await stopping
