--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -383,3 +383,69 @@
     while (await host.send_request('/new/1')).status != 200:
         assert get_running_loop().time() < deadline, 'not followed in time'
         await sleep(0.1)
+
+
+async def hold_connections(
+    address: tuple[str, int], count: int, data: bytes
+) -> None:
+    """Opens connections, sends the same on each, and waits."""
+    writers = []
+    for number in range(count):
+        _, writer = await open_stream(*address)
+        writer.write(data)
+        writers.append(writer)
+        if number % 50 == 0:
+            await sleep(0.01)
+    await sleep(WAIT_S)
+    for writer in writers:
+        writer.close()
+
+
+@pytest.mark.parametrize('size', [0, 15_000])
+async def test_many_connections_fill_no_host(
+    host: MeasuredHost, size: int
+) -> None:
+    """As many as it has descriptors, idle or with a head that goes on."""
+    data = b''
+    if size:
+        fields = b'ab:cd\r\n' * (size // 7)
+        data = REQUEST_HEAD + fields[: size - len(REQUEST_HEAD)]
+    host.begin(hold_connections(host.settings.callers_listen, 3_000, data))
+    await sleep(2.0)
+    await check_limits(host)
+
+
+async def test_all_together_fill_no_host(host: MeasuredHost) -> None:
+    """Servers, callers, hosts and writers of entries at the same time."""
+    backend = host.backends[0]
+    backend.streams_health = True
+    callers = host.settings.callers_listen
+    entry = b'{"State": [' + b'[],' * 340_000 + b'[]]}'
+    host.store.page_size = 1
+    for number in range(3):
+        host.store.put_raw(f'servers/odd-{number}', entry)
+    body = b'x' * 60_000_000
+    for number in range(3):
+        host.begin(host.send_request(f'/long/{number}', body))
+        host.begin(
+            ask_without_reading(host.settings.peer_listen, f'host-{number}')
+        )
+    host.begin(hold_connections(callers, 500, REQUEST_HEAD))
+    for stream in (Stream.FIELDS_AFTER_BODY, Stream.BODY):
+        backend.stream = stream
+        for number in range(30):
+            host.begin(host.send_request(f'/long/{number}'))
+        await sleep(0.5)
+    for head, block in CALLER_STREAMS.values():
+        host.begin(send_stream(callers, head, block))
+    await sleep(3.0)
+    await wait_until_settled(host)
+    await check_limits(host)
+
+
+async def wait_until_settled(host: MeasuredHost) -> None:
+    """Waits until a request to a sound server is served at once."""
+    deadline = get_running_loop().time() + WAIT_S
+    while (await host.send_request('/sound/0')).status != 200:
+        assert get_running_loop().time() < deadline, 'not settled in time'
+        await sleep(0.1)
