--- a/cowslipmill/platform/tests/test_nodefile.py
+++ b/cowslipmill/platform/tests/test_nodefile.py
@@ -5,6 +5,7 @@
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from cowslipmill.host.settings import DEFAULT_MEMORY_MB
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.nodefile import decode_settings
 
@@ -43,6 +44,15 @@
     assert_that(settings.first_start, Equals(True))
 
 
+def test_the_memory_limit_is_optional() -> None:
+    """A host without one would take none or all of the machine's memory."""
+    assert_that(decode_settings(TEXT).memory_mb, Equals(DEFAULT_MEMORY_MB))
+    limited = decode_settings(f'{TEXT}Limits.MemoryMb=552\n')
+    assert_that(limited.memory_mb, Equals(552.0))
+    with pytest.raises(InvalidField):
+        decode_settings(f'{TEXT}Limits.MemoryMb=inf\n')
+
+
 def test_seeds_may_be_empty() -> None:
     assert_that(decode_settings(with_value('Seeds', '')).seeds, Equals(()))
 
--- a/cowslipmill/view/tests/test_reader.py
+++ b/cowslipmill/view/tests/test_reader.py
@@ -14,10 +14,12 @@
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 
+from cowslipmill.http1.message import Response
 from cowslipmill.platform.storeapi import PlatformStoreApi
 from cowslipmill.standin.store import StandinStore
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreUnavailable
+from cowslipmill.view.reader import MAX_PAGES
 from cowslipmill.view.reader import ReadResult
 from cowslipmill.view.reader import StoreReader
 from cowslipmill.view.server import ServerRecord
@@ -251,3 +253,23 @@
     await reader.read()
     assert reader.view.configuration is not None
     assert_that(reader.view.configuration.version, Equals(10))
+
+
+async def test_pages_without_end_are_given_up(
+    store: StandinStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What they hold would fill the host, and no read would end."""
+    page = store.page
+
+    def truncated(words: dict[str, str]) -> Response:
+        """Answers as if there were another page, which is the first."""
+        response = page({**words, 'after': ''})
+        body = bytes(response.body).replace(b'false', b'true')
+        return Response(response.status, response.headers, body)
+
+    monkeypatch.setattr(store, 'page', truncated)
+    clock = get_running_loop().time
+    view = View()
+    reader = StoreReader(store.address, PlatformStoreApi('s'), view, clock)
+    assert_that(await reader.read(), IsInstance(StoreUnavailable))
+    assert_that(store.calls['/api/kv-range'], Equals(MAX_PAGES))
--- a/cowslipmill/view/tests/test_view.py
+++ b/cowslipmill/view/tests/test_view.py
@@ -16,6 +16,7 @@
 from cowslipmill.view.revision import number_of
 from cowslipmill.view.tests.conftest import make_configuration
 from cowslipmill.view.tests.conftest import make_record
+from cowslipmill.view.view import MAX_SERVERS
 from cowslipmill.view.view import View
 
 
@@ -346,3 +347,18 @@
     for known in reader.available_servers('registry'):
         number = int(known.record.name[-1])
         assert_that(known.record.started_ms, GreaterThan(left[number]))
+
+
+def test_further_servers_than_any_deployment_has_are_not_used(
+    view: View,
+) -> None:
+    """Another writer may fill the store with entries that look sound."""
+    events = [
+        ServerUpdated(make_record(number), number + 1)
+        for number in range(MAX_SERVERS + 10)
+    ]
+    view.apply_events(events, 1.0)
+    assert_that(len(view.servers), Equals(MAX_SERVERS))
+    moved = replace(make_record(1), slots=7)
+    view.apply_events([ServerUpdated(moved, MAX_SERVERS + 20)], 2.0)
+    assert_that(view.servers['server-1'].record.slots, Equals(7))
