Admit large messages of a host before it learns that it may send them

The limit of a message was raised after the handshake's last message had been sent, so that a first message of over 512 bytes could close the connection of a sound host if it came at once. Seen by reading; the order is fixed now. A test has a peer without the key send 3,000 bytes: closed with 1009.

--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -109,8 +109,9 @@
         """
         self.connections.add(connection)
         try:
-            peer_name = await authenticate_client(connection, self.keys)
-            connection.protocol.max_message_size = self.codec.max_bytes
+            peer_name = await authenticate_client(
+                connection, self.keys, self.codec.max_bytes
+            )
             await self.receive_messages(connection, peer_name)
         except HandshakeFailed as error:
             REFUSED_CONNECTIONS.labels('handshake').inc()
--- a/cowslipmill/peers/session.py
+++ b/cowslipmill/peers/session.py
@@ -39,13 +39,16 @@
 
 
 async def authenticate_client(
-    connection: Connection, keys: Sequence[str]
+    connection: Connection, keys: Sequence[str], max_bytes: int
 ) -> str:
     """Runs the server's side of the handshake.
 
     Args:
-        connection: A connection on which nothing was sent yet.
+        connection: A connection on which nothing was sent yet, and which
+            accepts no more than `MAX_HANDSHAKE_BYTES` at a time.
         keys: Accepted keys.
+        max_bytes: Maximum size in bytes of the messages that follow; set
+            before the client learns that it may send them.
 
     Returns:
         The name that the client authenticated itself with.
@@ -68,6 +71,7 @@
     )
     if key is None:
         raise HandshakeFailed('unknown key')
+    connection.protocol.max_message_size = max_bytes
     proof = compute_proof(key, 'server', message.name, message.nonce, nonce)
     await connection.send(HANDSHAKE_CODEC.encode(ServerProof(proof)))
     return message.name
--- a/cowslipmill/peers/tests/test_links.py
+++ b/cowslipmill/peers/tests/test_links.py
@@ -15,6 +15,7 @@
 from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosedError
 
 from cowslipmill.launch.network import Network
 from cowslipmill.memory.budget import MemoryBudget
@@ -179,6 +180,20 @@
     assert_that(memory.peak_bytes, LessThan(400_001))
 
 
+@pytest.mark.asyncio
+async def test_a_peer_without_the_key_sends_no_large_message(
+    server: PeerServer,
+) -> None:
+    """Anyone could fill the process with messages that are received whole."""
+    async with connect(f'ws://{ADDRESS}') as connection:
+        await connection.recv()
+        await connection.send(b'\x00' * 3_000)
+        with pytest.raises(ConnectionClosedError) as closed:
+            await connection.recv()
+    assert closed.value.rcvd is not None
+    assert_that(closed.value.rcvd.code, Equals(1009))
+
+
 class Novelty(Struct, frozen=True, tag='novelty'):
     """A call that only the client knows."""
 
