Read what a rejected caller still sends for up to 10 s

What callers saw: one that sends a long body and reads nothing until it has sent all lost its 413 or 503, if that took more than 2 s: the host closed, and the system reset the connection. Seen in the new test (connection lost).

Change: 10 s. A caller that reads the response and closes ends that at once.

Test: http1/tests/test_callerconnection.py, which failed with 2 s.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -40,9 +40,9 @@
 REQUEST_BYTES = 8_192
 # What a head takes on the wire beyond what its limit counts.
 HEAD_MARGIN_BYTES = 1_024
-# Time for which the rest of a rejected request is read and discarded. Closing
+# Longest time for which the rest of a rejected request is read. Closing
 # at once would reset the connection, and the caller would lose the response.
-LINGER_S = 2.0
+LINGER_S = 10.0
 # Longest time that a request may take to arrive; no caller waits so long.
 MAX_RECEIVE_S = 60.0
 # Retry-After of a request for which there is no memory; other hosts may have
--- a/cowslipmill/http1/tests/test_callerconnection.py
+++ b/cowslipmill/http1/tests/test_callerconnection.py
@@ -303,3 +303,17 @@
     caller.server.end()
     await sleep(0.1)
     assert_that(len(caller.requests), Equals(1))
+
+
+async def test_a_rejected_caller_that_sends_on_gets_its_response(
+    caller: CallerHarness,
+) -> None:
+    """Closing meanwhile resets the connection, and the response is lost."""
+    head = b'POST /a HTTP/1.1\r\nhost: one\r\ncontent-length: 9000000\r\n\r\n'
+    caller.writer.write(head)
+    for _ in range(60):
+        caller.writer.write(b'z' * 150_000)
+        await caller.writer.drain()
+        await sleep(0.05)
+    response = await caller.reader.read(12)
+    assert_that(response, Equals(b'HTTP/1.1 413'))
