Bound what a message of another host takes once it is decoded

What was seen: a message of 4 MB of empty lists, within the size limit, took 65 to 78 times its bytes as objects (tracemalloc), some 300 MB for a message of the largest size; a host of 200 MiB is killed, and its callers get closed connections.

Cause: size was bounded in bytes received, not in memory held, as it was for responses of servers.

--- a/cowslipmill/peers/codec.py
+++ b/cowslipmill/peers/codec.py
@@ -12,9 +12,16 @@
 from msgspec import to_builtins
 from msgspec import ValidationError
 
+from cowslipmill.peers.decodedsize import measure_decoded
+
 M = TypeVar('M')
 
 PROTOCOL_VERSION = 1
+# Most memory that a decoded message may take.
+MAX_DECODED_BYTES = 33_554_432
+# Most memory that one encoded byte takes once it is decoded. Messages that
+# can't reach the limit aren't measured.
+MAX_DECODED_FACTOR = 80
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +80,11 @@
         """Returns what bytes encode, in builtin types, or `Malformed`."""
         if len(raw) > self.max_bytes:
             return Malformed(f'{len(raw)} bytes exceed {self.max_bytes}')
+        if (
+            len(raw) * MAX_DECODED_FACTOR > MAX_DECODED_BYTES
+            and measure_decoded(raw, MAX_DECODED_BYTES) > MAX_DECODED_BYTES
+        ):
+            return Malformed('too many values')
         try:
             return loads(raw)
         except (CBORDecodeError, ValueError) as error:
