Bound the memory of what other hosts send unasked

Cause: only replies were counted. What was received was bounded for each connection (4 messages ahead of 4 MiB, 1 MB before the handshake), but not over all; calls kept their messages until they ended; pongs to a peer that doesn't read were written without a bound.

Change: connections of peers count what they hold in the hosts' budget: unread bytes, frames, messages that are handled, calls until they end, and what waits to be written. Messages in parts and openings beyond 4 KiB are refused; at most 8,192 calls are open over all connections, further ones are replied to without a result.

--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -30,6 +30,7 @@
 from testtools.matchers import LessThan
 from websockets.asyncio.client import connect
 
+from cowslipmill.fleet.messages import AskLease
 from cowslipmill.fleet.messages import AskSnapshot
 from cowslipmill.fleet.messages import MESSAGES
 from cowslipmill.fleet.rpc import MAX_MESSAGE_BYTES
@@ -70,6 +71,9 @@
 # processor time.
 STREAM_BYTES = 8_000_000
 SMALL_CHUNK_BYTES = 1_500_000
+# The key with which the hosts of the tests prove that they are hosts.
+PROOF_KEY = 'default'
+CALL_CODEC = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
 
 
 class MeasuredHost:
@@ -334,14 +338,13 @@
 
 async def ask_without_reading(address: tuple[str, int], name: str) -> None:
     """Asks for the view again and again and reads no reply."""
-    codec = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
     host, port = address
     async with connect(f'ws://{host}:{port}', compression=None) as connection:
-        await authenticate_to_server(connection, name, ('default',))
+        await authenticate_to_server(connection, name, (PROOF_KEY,))
         connection.transport.pause_reading()
         for number in range(100):
             frames = [
-                codec.encode(
+                CALL_CODEC.encode(
                     Frame(FrameKind.CALL, 20 * number + n, AskSnapshot(0, 0))
                 )
                 for n in range(20)
@@ -370,6 +373,89 @@
     await check_limits(host)
 
 
+# The encoding of an empty list, of one byte, and of a list of them.
+EMPTY_LIST = b'\x80'
+LIST_BYTES = 4_100_000
+LISTS = b'\x9a' + LIST_BYTES.to_bytes(4, 'big') + EMPTY_LIST * LIST_BYTES
+# A frame of the WebSocket protocol from a client: the last of a binary
+# message, with a length of 64 bits and an empty mask.
+FRAME_HEAD = b'\x82\xff' + len(LISTS).to_bytes(8, 'big') + bytes(4)
+FRAGMENT_HEAD = b'\x02\x80' + bytes(4)
+FRAGMENT = b'\x00\x80' + bytes(4)
+PING = b'\x89\xfd' + bytes(4) + b'x' * 125
+LONG_LEASE = CALL_CODEC.encode(
+    Frame(
+        FrameKind.CALL,
+        1,
+        AskLease(
+            ('host-1', 1),
+            SERVICE,
+            DOMAINS[0],
+            'route',
+            0,
+            5.0,
+            8.0,
+            1.0,
+            tuple(f'{n % 256:02x}' for n in range(300_000)),
+            None,
+        ),
+    )
+)
+HOST_STREAMS = {
+    'lists': (FRAME_HEAD + LISTS) * 4,
+    'a message that goes on': FRAME_HEAD + LISTS[:-1],
+    'fragments': FRAGMENT_HEAD + FRAGMENT * 300_000,
+    'pings': PING * 200_000,
+    'calls': b''.join(
+        b'\x82\xff' + len(batch).to_bytes(8, 'big') + bytes(4) + batch
+        for batch in [join_frames([LONG_LEASE])] * 8
+    ),
+}
+
+
+async def send_unasked(
+    address: tuple[str, int], name: str, data: bytes
+) -> None:
+    """Sends bytes as another host, reads nothing, and stays connected."""
+    host, port = address
+    async with connect(f'ws://{host}:{port}', compression=None) as connection:
+        await authenticate_to_server(connection, name, (PROOF_KEY,))
+        connection.transport.pause_reading()
+        for at in range(0, len(data), KIBIBYTES * KIBIBYTES):
+            connection.transport.write(data[at : at + KIBIBYTES * KIBIBYTES])
+            await sleep(0.01)
+        await sleep(WAIT_S)
+
+
+@pytest.mark.parametrize('stream', list(HOST_STREAMS))
+async def test_hosts_that_send_unasked_fill_no_host(
+    host: MeasuredHost, stream: str
+) -> None:
+    """Each connection is within its bound, and there are many."""
+    for number in range(24):
+        host.begin(
+            send_unasked(
+                host.settings.peer_listen,
+                f'host-{number}',
+                HOST_STREAMS[stream],
+            )
+        )
+    await sleep(3.0)
+    await wait_until_settled(host)
+    await check_limits(host)
+
+
+async def test_strangers_that_greet_no_further_fill_no_host(
+    host: MeasuredHost,
+) -> None:
+    """Anyone may connect to where hosts listen, and send a request's head."""
+    field = b'x-long: ' + b'y' * 8_000 + b'\r\n'
+    data = b'GET / HTTP/1.1\r\n' + field * 100
+    host.begin(hold_connections(host.settings.peer_listen, 1_000, data))
+    await sleep(3.0)
+    await check_limits(host)
+
+
 async def test_entries_of_other_writers_fill_no_host(
     host: MeasuredHost,
 ) -> None:
--- a/cowslipmill/peers/link.py
+++ b/cowslipmill/peers/link.py
@@ -5,6 +5,7 @@
 from asyncio import Future
 from asyncio import get_running_loop
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -20,6 +21,9 @@
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import Unreadable
 from cowslipmill.peers.framequeue import FrameQueue
+from cowslipmill.peers.measuredconnection import MAX_RECEIVED_AHEAD
+from cowslipmill.peers.measuredconnection import MeasuredClientConnection
+from cowslipmill.peers.measuredconnection import received_on
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import SENT_BYTES
@@ -54,6 +58,8 @@
     link is connected. They are dropped while the link reconnects.
 
     Attributes:
+        memory: The budget of what waits to be sent, and of what is received;
+            None for no limit.
         address: The peer's address, `HOST:PORT`.
         name: Name of this process, sent in the handshake.
         keys: Shared keys; the first one signs.
@@ -79,6 +85,7 @@
     ) -> None:
         """Initializes the link; it connects when the service starts."""
         super().__init__()
+        self.memory = memory
         self.address = address
         self.name = name
         self.keys = keys
@@ -104,15 +111,21 @@
 
     async def connect_once(self) -> None:
         """Connects and sends messages until the connection ends."""
+        create_connection: Any = partial(
+            MeasuredClientConnection, memory=self.memory
+        )
         try:
             async with connect(
                 f'ws://{self.address}',
                 compression=None,
                 max_size=self.codec.max_bytes,
                 open_timeout=OPEN_TIMEOUT_S,
+                max_queue=MAX_RECEIVED_AHEAD,
                 close_timeout=CLOSE_TIMEOUT_S,
+                create_connection=create_connection,
             ) as connection:
                 await authenticate_to_server(connection, self.name, self.keys)
+                received_on(connection).authenticate(self.address)
                 await self.run_connection(connection)
         except (
             OSError,
@@ -141,6 +154,7 @@
         try:
             async for raw in connection:
                 self.on_replies(raw)
+                received_on(connection).settle()
         finally:
             self.connected.clear()
             self.connection = None
--- /dev/null
+++ b/cowslipmill/peers/measuredconnection.py
@@ -0,0 +1,194 @@
+"""Connections of peers that count the memory of what they receive.
+
+A peer decides how much it sends, how it splits it, and whether it reads what
+is sent back.
+"""
+
+from asyncio import BaseTransport
+from logging import getLogger
+from sys import maxsize
+from typing import Any
+
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import ServerConnection
+from websockets.protocol import State
+
+from cowslipmill.memory.budget import Holding
+from cowslipmill.memory.budget import MemoryBudget
+from cowslipmill.peers.metrics import REFUSED_CONNECTIONS
+
+LOG = getLogger(__name__)
+
+# Memory of a connection whose peer has proved nothing yet.
+CONNECTION_BYTES = 16_384
+# Most bytes that open a connection; a client of this program sends some 300.
+MAX_OPENING_BYTES = 4_096
+# Memory of what was received while the connection opens: each field becomes
+# a tuple of two texts.
+OPENING_FACTOR = 16
+# Memory of a received frame beside its data.
+FRAME_BYTES = 256
+# Bytes that are parsed before they are counted; small frames take many times
+# their bytes.
+MAX_PARSED_BYTES = 16_384
+# Messages of a connection that are received before one has been handled.
+MAX_RECEIVED_AHEAD = 4
+
+
+class ReceivedMemory:
+    """The memory of what one connection received and has not handled.
+
+    Attributes:
+        connection: The connection.
+        holding: Its memory.
+        opening_bytes: Bytes received until the connection was open.
+        base_bytes: Memory of the connection itself.
+        message_bytes: Memory of the messages that are being handled.
+        closed: Whether nothing more is counted.
+    """
+
+    __slots__ = (
+        'base_bytes',
+        'closed',
+        'connection',
+        'holding',
+        'message_bytes',
+        'opening_bytes',
+    )
+
+    def __init__(self, connection: Connection, memory: MemoryBudget) -> None:
+        """Starts with nothing received."""
+        self.connection = connection
+        self.holding = Holding(memory, 'connection of a peer')
+        self.opening_bytes = 0
+        self.base_bytes = CONNECTION_BYTES
+        self.message_bytes = 0
+        self.closed = False
+
+    def start(self) -> None:
+        """Counts the connection, which is closed if there is no room."""
+        self.holding.allow_eviction(self.close)
+        self.settle()
+
+    def close(self) -> None:
+        """Closes the connection at once and gives the memory back."""
+        self.closed = True
+        self.holding.release()
+        self.connection.transport.abort()
+
+    def receive(self, size: int) -> None:
+        """Counts received bytes; closes the connection beyond a bound.
+
+        Args:
+            size: How many bytes were received.
+        """
+        if self.connection.protocol.state is State.CONNECTING:
+            self.opening_bytes += size
+            if self.opening_bytes > MAX_OPENING_BYTES:
+                self.refuse('long opening')
+                return
+        # A sender of this program never splits a message. Parts would be
+        # held outside of the queue until the last one has come.
+        elif any(not frame.fin for frame in self.frames):
+            self.refuse('message in parts')
+            return
+        self.settle()
+
+    def refuse(self, reason: str) -> None:
+        """Closes the connection at once."""
+        REFUSED_CONNECTIONS.labels('bounds').inc()
+        extra = {'peer': str(self.holding.owner), 'reason': reason}
+        LOG.warning('peer cut off', extra=extra)
+        self.close()
+
+    @property
+    def frames(self) -> Any:
+        """The frames that wait to be handled."""
+        return self.connection.recv_messages.frames.queue
+
+    def settle(self) -> None:
+        """Counts what is held now; closes the connection without room."""
+        if self.closed:
+            return
+        connection = self.connection
+        size = self.base_bytes + self.message_bytes
+        size += len(connection.protocol.reader.buffer)
+        if self.base_bytes:
+            size += OPENING_FACTOR * self.opening_bytes
+        size += connection.transport.get_write_buffer_size()
+        for frame in self.frames:
+            size += FRAME_BYTES + len(frame.data)
+        if size != self.holding.size and not self.holding.resize(size):
+            self.close()
+
+    def authenticate(self, peer_name: str) -> None:
+        """Counts messages only, once the peer is known."""
+        self.holding.owner = f'messages of {peer_name}'
+        self.base_bytes = 0
+        self.settle()
+
+    def hold(self, size: int) -> None:
+        """Adds the memory of a message that is being handled."""
+        self.message_bytes += size
+        self.settle()
+
+    def let_go(self, size: int) -> None:
+        """Takes away the memory of a message that was handled."""
+        self.message_bytes -= size
+        self.settle()
+
+
+class MeasuredConnection(Connection):
+    """A connection that counts what it receives.
+
+    Attributes:
+        received: The memory of what was received.
+    """
+
+    def __init__(
+        self, *args: Any, memory: MemoryBudget | None, **kwargs: Any
+    ) -> None:
+        """Starts with nothing received.
+
+        Args:
+            args: Passed on.
+            memory: The budget of what is received; None for no limit.
+            kwargs: Passed on.
+        """
+        super().__init__(*args, **kwargs)
+        budget = memory or MemoryBudget('unlimited', maxsize)
+        self.received = ReceivedMemory(self, budget)
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Counts the connection."""
+        super().connection_made(transport)
+        self.received.start()
+
+    def data_received(self, data: bytes) -> None:
+        """Counts what was received, a part at a time."""
+        for start in range(0, len(data), MAX_PARSED_BYTES):
+            part = data[start : start + MAX_PARSED_BYTES]
+            super().data_received(part)
+            self.received.receive(len(part))
+            if self.received.closed:
+                return
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Gives the memory back."""
+        super().connection_lost(exc)
+        self.received.close()
+
+
+class MeasuredServerConnection(MeasuredConnection, ServerConnection):
+    """The server's side of a connection that counts what it receives."""
+
+
+class MeasuredClientConnection(MeasuredConnection, ClientConnection):
+    """The client's side of a connection that counts what it receives."""
+
+
+def received_on(connection: Connection) -> ReceivedMemory:
+    """Returns the memory of what a measured connection received."""
+    assert isinstance(connection, MeasuredConnection)
+    return connection.received
--- a/cowslipmill/peers/server.py
+++ b/cowslipmill/peers/server.py
@@ -5,6 +5,7 @@
 from asyncio import Task
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from logging import getLogger
 from typing import Any
 
@@ -15,11 +16,17 @@
 
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.codec import Malformed
+from cowslipmill.peers.codec import MAX_DECODED_BYTES
+from cowslipmill.peers.decodedsize import measure_decoded
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameCodec
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import Unreadable
 from cowslipmill.peers.framequeue import FrameQueue
+from cowslipmill.peers.measuredconnection import MAX_RECEIVED_AHEAD
+from cowslipmill.peers.measuredconnection import MeasuredServerConnection
+from cowslipmill.peers.measuredconnection import received_on
+from cowslipmill.peers.measuredconnection import ReceivedMemory
 from cowslipmill.peers.metrics import DROPPED_MESSAGES
 from cowslipmill.peers.metrics import RECEIVED_BYTES
 from cowslipmill.peers.metrics import REFUSED_CONNECTIONS
@@ -36,12 +43,54 @@
 MAX_OPEN_CALLS = 1024
 MAX_MESSAGES_PER_SECOND = 20_000.0
 CLOSE_TIMEOUT_S = 0.5
-# Messages of a connection that are received before one has been handled.
-MAX_RECEIVED_AHEAD = 4
+# Over all connections, beside which each call holds a task and its message.
+MAX_ALL_OPEN_CALLS = 8192
+# Messages of at most this size on average are bounded by the number of calls.
+SMALL_MESSAGE_BYTES = 256
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
 
+class ReceivedBatch:
+    """The memory of one batch of messages until all have been handled.
+
+    Attributes:
+        received: The memory of its connection.
+        size: Memory of the batch in bytes.
+        open_parts: Its calls that are open, and one while it is read.
+    """
+
+    __slots__ = ('open_parts', 'received', 'size')
+
+    def __init__(
+        self, received: ReceivedMemory, raw: Any, frames: int
+    ) -> None:
+        """Counts the batch.
+
+        Args:
+            received: The memory of its connection.
+            raw: Its encoding.
+            frames: How many frames it holds; 0 if it is malformed.
+        """
+        self.received = received
+        self.open_parts = 1
+        self.size = len(raw)
+        if frames and len(raw) > SMALL_MESSAGE_BYTES * frames:
+            self.size += measure_decoded(raw, MAX_DECODED_BYTES)
+        received.hold(self.size)
+
+    def add_call(self, call: 'Task[None]') -> None:
+        """Keeps the memory until a call has ended as well."""
+        self.open_parts += 1
+        call.add_done_callback(self.end_part)
+
+    def end_part(self, call: 'Task[None] | None' = None) -> None:
+        """Gives the memory back once no part is open."""
+        self.open_parts -= 1
+        if not self.open_parts:
+            self.received.let_go(self.size)
+
+
 class PeerServer(Service):
     """Accepts connections of peers and passes their messages to a handler.
 
@@ -54,8 +103,10 @@
             reply to a call.
         max_messages_per_second: Rate limit per connection in frames per
             second; a connection that exceeds it is closed.
-        memory: The budget of replies that wait to be sent; None for no limit.
+        memory: The budget of what is received and of replies that wait to be
+            sent; None for no limit.
         connections: Open connections.
+        open_calls: Calls of all connections that are being handled.
     """
 
     def __init__(
@@ -79,6 +130,7 @@
         self.handler = handler
         self.max_messages_per_second = max_messages_per_second
         self.connections: set[ServerConnection] = set()
+        self.open_calls = 0
 
     async def on_start(self) -> None:
         """Starts to listen.
@@ -87,6 +139,9 @@
             ListenError: If the address can't be bound.
         """
         host, port = split_address(self.address)
+        create_connection: Any = partial(
+            MeasuredServerConnection, memory=self.memory
+        )
         server = serve(
             self.serve_peer,
             host,
@@ -95,6 +150,7 @@
             max_size=MAX_HANDSHAKE_BYTES,
             max_queue=MAX_RECEIVED_AHEAD,
             close_timeout=CLOSE_TIMEOUT_S,
+            create_connection=create_connection,
         )
         try:
             await self.add_async_context(server)
@@ -140,16 +196,27 @@
         replies.holding.allow_eviction(connection.transport.abort)
         sender = create_task(self.send_replies(connection, replies))
         calls: set[Task[None]] = set()
+        received = received_on(connection)
         try:
             if not replies.open():
                 return
+            received.authenticate(peer_name)
             async for raw in connection:
-                for frame in self.decode(raw):
+                frames = self.decode(raw)
+                batch = ReceivedBatch(received, raw, len(frames))
+                if received.closed:
+                    return
+                for frame in frames:
                     if not limit.allow(clock()):
                         REFUSED_CONNECTIONS.labels('flood').inc()
                         LOG.warning('peer cut off', extra={'peer': peer_name})
                         return
-                    await self.on_frame(frame, peer_name, replies, calls)
+                    call = await self.on_frame(
+                        frame, peer_name, replies, calls
+                    )
+                    if call is not None:
+                        batch.add_call(call)
+                batch.end_part()
         finally:
             for task in (sender, *calls):
                 task.cancel()
@@ -185,29 +252,50 @@
         peer_name: str,
         replies: FrameQueue,
         calls: set[Task[None]],
-    ) -> None:
+    ) -> Task[None] | None:
         """Handles one frame.
 
         A notification is handled before the next frame is read. A call is
         handled in a task of its own; at most `MAX_OPEN_CALLS` per connection
         run at the same time, further calls are dropped. A call that can't be
-        decoded is replied to without a result, so that the peer doesn't wait.
+        decoded, or beyond `MAX_ALL_OPEN_CALLS`, is replied to without a
+        result, so that the peer doesn't wait.
+
+        Returns:
+            The task of a call; None if there is none.
         """
         if isinstance(frame.message, Unreadable):
             DROPPED_MESSAGES.labels('unreadable').inc()
             if frame.kind is FrameKind.CALL:
-                reply = Frame[Any](FrameKind.REPLY, frame.call_id, None)
-                replies.put(self.codec.encode(reply))
-            return
+                self.reply_without_result(frame, replies)
+            return None
         if frame.kind is FrameKind.NOTIFICATION:
             await self.run_handler(frame.message, peer_name)
-            return
+            return None
         if frame.kind is not FrameKind.CALL or len(calls) >= MAX_OPEN_CALLS:
             DROPPED_MESSAGES.labels('unexpected').inc()
-            return
+            return None
+        if self.open_calls >= MAX_ALL_OPEN_CALLS:
+            DROPPED_MESSAGES.labels('too-many-calls').inc()
+            self.reply_without_result(frame, replies)
+            return None
+        self.open_calls += 1
         task = create_task(self.reply_to_call(frame, peer_name, replies))
         calls.add(task)
         task.add_done_callback(calls.discard)
+        task.add_done_callback(self.on_call_ended)
+        return task
+
+    def on_call_ended(self, call: Task[None]) -> None:
+        """Makes room for another call."""
+        self.open_calls -= 1
+
+    def reply_without_result(
+        self, frame: Frame[Any], replies: FrameQueue
+    ) -> None:
+        """Tells the peer that its call isn't handled."""
+        reply = Frame[Any](FrameKind.REPLY, frame.call_id, None)
+        replies.put(self.codec.encode(reply))
 
     async def run_handler(self, message: Any, peer_name: str) -> Any:
         """Calls the handler and logs an exception that it raises.
--- a/cowslipmill/peers/tests/test_links.py
+++ b/cowslipmill/peers/tests/test_links.py
@@ -3,7 +3,11 @@
 from asyncio import gather
 from asyncio import sleep
 from asyncio import start_server
+from asyncio import StreamReader
+from asyncio import StreamWriter
+from asyncio import timeout
 from collections.abc import AsyncIterator
+from contextlib import closing
 from random import Random
 from typing import Any
 
@@ -12,6 +16,7 @@
 import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 from websockets.asyncio.client import connect
@@ -22,7 +27,9 @@
 from cowslipmill.peers.frame import make_frame_codec
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.peers.links import PeerLinks
+from cowslipmill.peers.measuredconnection import CONNECTION_BYTES
 from cowslipmill.peers.server import PeerServer
+from cowslipmill.peers.session import authenticate_to_server
 
 KEY = 'a' * 32
 OLD_KEY = 'b' * 32
@@ -165,7 +172,12 @@
 async def test_a_peer_that_reads_nothing_leaves_room_for_others() -> None:
     """What waits for many such peers filled the process."""
     memory = MemoryBudget('hosts', 400_000)
-    silent = await start_server(lambda reader, writer: None, '127.0.0.1', 0)
+
+    async def accept(reader: StreamReader, writer: StreamWriter) -> None:
+        with closing(writer):
+            await reader.read()
+
+    silent = await start_server(accept, '127.0.0.1', 0)
     port = silent.sockets[0].getsockname()[1]
     message = Blob(b'x' * 3_000)
     async with PeerLinks('one', (KEY,), CODEC, Random(1), memory) as links:
@@ -180,6 +192,58 @@
     assert_that(memory.peak_bytes, LessThan(400_001))
 
 
+@pytest.mark.asyncio
+async def test_memory_of_received_messages_is_given_back() -> None:
+    """A host would refuse all others once its budget seemed used up."""
+    memory = MemoryBudget('hosts', 400_000)
+    server = PeerServer(
+        ADDRESS, 'peer_listen', (KEY,), CODEC, reply_to_ping, memory=memory
+    )
+    async with server:
+        async with PeerLinks('one', (KEY,), CODEC, Random(1)) as links:
+            for number in range(20):
+                blob = Blob(b'x' * 3_000)
+                calls = [links.call(ADDRESS, blob, 5.0) for _ in range(5)]
+                ping = links.call(ADDRESS, Ping(number), 5.0)
+                *_, reply = await gather(*calls, ping)
+                assert_that(reply, Equals(Pong(number, 'one')))
+            assert_that(memory.held_bytes, LessThan(2 * CONNECTION_BYTES))
+        async with timeout(10.0):
+            while server.connections:
+                await sleep(0.01)
+    assert_that(memory.held_bytes, Equals(0))
+    assert_that(server.open_calls, Equals(0))
+    assert_that(memory.peak_bytes, GreaterThan(15_000))
+
+
+@pytest.mark.asyncio
+async def test_a_peer_that_sends_without_end_leaves_room_for_others() -> None:
+    """Parts of messages and pings filled the process."""
+    frames = {
+        'parts': b'\x02\x80' + bytes(4) + (b'\x00\x80' + bytes(4)) * 9_000,
+        'pings': (b'\x89\xfd' + bytes(4) + b'x' * 125) * 90_000,
+    }
+    memory = MemoryBudget('hosts', 400_000)
+    bounded = PeerServer(
+        ADDRESS, 'peer_listen', (KEY,), CODEC, reply_to_ping, memory=memory
+    )
+    async with bounded:
+        for data in frames.values():
+            async with connect(
+                f'ws://{ADDRESS}', close_timeout=0.1
+            ) as connection:
+                await authenticate_to_server(connection, 'odd', (KEY,))
+                connection.transport.pause_reading()
+                connection.transport.write(data)
+                async with timeout(10.0):
+                    while bounded.connections:
+                        await sleep(0.01)
+        async with PeerLinks('one', (KEY,), CODEC, Random(1)) as links:
+            reply = await links.call(ADDRESS, Ping(1), 5.0)
+    assert_that(reply, Equals(Pong(1, 'one')))
+    assert_that(memory.peak_bytes, LessThan(400_001))
+
+
 @pytest.mark.asyncio
 async def test_a_peer_without_the_key_sends_no_large_message(
     server: PeerServer,
