Count the headers of requests and responses that hosts send by others

What was seen: a relayed response with 1,000 headers, some 160 kB, was taken by a host with 60 kB left for responses, and held until its caller had taken it: nothing but the body was counted. A host with too little memory is killed, and its callers get closed connections.

Cause: the relay's client and server counted the body alone.

Change: both count headers as connections of callers and servers do. A response without room is lost (502, or a retry), as before.

Test: of the four new cases, 1,000 headers failed before (200 for 502). The other three guard what had no test: that a host offers no relay without memory for it (fails, 503 for 200, if offers set nothing aside), and that the body of a relayed response counts.

--- a/cowslipmill/host/tests/test_relays.py
+++ b/cowslipmill/host/tests/test_relays.py
@@ -25,6 +25,7 @@
 from cowslipmill.host.tests.test_partition import count_served
 from cowslipmill.host.tests.test_partition import partition
 from cowslipmill.host.tests.test_partition import send_requests
+from cowslipmill.http1.callerconnection import REQUEST_BYTES
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import open_connection
@@ -32,6 +33,7 @@
 from cowslipmill.relays.messages import AskRelay
 from cowslipmill.relays.messages import RelayFailure
 from cowslipmill.relays.messages import RelayRequest
+from cowslipmill.relays.messages import RelayResponse
 
 __all__ = ('partition',)
 
@@ -142,6 +144,63 @@
     assert_that(count_runs(large_fleet), Equals(Counter()))
 
 
+async def test_a_host_offers_no_relay_without_memory_for_it(
+    large_fleet: Fleet, partition: Partition
+) -> None:
+    """Requests of other hosts filled a host that took all of them."""
+    cut = other_than_coordinator(large_fleet)
+    await isolate(large_fleet, partition, [cut])
+    before = count_runs(large_fleet)
+    for host in large_fleet.hosts:
+        if host is cut:
+            continue
+        budget = host.memory.callers
+        budget.limit_bytes = budget.held_bytes + 3 * REQUEST_BYTES
+    body = b'x' * 200_000
+    statuses = [
+        (
+            await large_fleet.send_request(
+                f'/book/full-{number}',
+                host=large_fleet.hosts.index(cut),
+                body=body,
+            )
+        ).status
+        for number in range(4)
+    ]
+    assert_that(statuses, Equals([503] * 4))
+    assert_that(count_runs(large_fleet), Equals(before))
+    small = await call(large_fleet, cut, '/book/small')
+    assert_that(small.status, Equals(200))
+
+
+@pytest.mark.parametrize(
+    ('headers', 'body_bytes', 'status'),
+    [(0, 0, 200), (1_000, 0, 502), (0, 100_000, 502)],
+)
+async def test_a_relayed_response_without_memory_is_lost(
+    large_fleet: Fleet,
+    partition: Partition,
+    headers: int,
+    body_bytes: int,
+    status: int,
+) -> None:
+    """A host keeps it until its caller has taken it."""
+    cut = other_than_coordinator(large_fleet)
+    await isolate(large_fleet, partition, [cut])
+
+    async def respond(message: RelayRequest, sender: str) -> RelayResponse:
+        signature = (b'x-response-signature', b'any')
+        filler = ((b'x-a', b'b'),) * headers
+        return RelayResponse(200, (signature, *filler), b'x' * body_bytes)
+
+    for host in large_fleet.hosts:
+        host.rpc.register(RelayRequest, respond)
+    budget = cut.memory.servers
+    budget.limit_bytes = budget.held_bytes + 60_000
+    response = await call(large_fleet, cut, '/book/large')
+    assert_that(response.status, Equals(status))
+
+
 async def test_a_relayed_request_ends_with_its_caller(
     large_fleet: Fleet, partition: Partition
 ) -> None:
--- a/cowslipmill/http1/message.py
+++ b/cowslipmill/http1/message.py
@@ -40,6 +40,14 @@
 }
 
 
+def measure_headers(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the memory that headers take, in bytes."""
+    return sum(
+        HEADER_OVERHEAD_BYTES + len(name) + len(value)
+        for name, value in headers
+    )
+
+
 class Request:
     """A request with its complete body.
 
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -12,6 +12,7 @@
 from cowslipmill.forwarding.attempt import Attempt
 from cowslipmill.forwarding.sendresult import Lost
 from cowslipmill.forwarding.sendresult import NotSent
+from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Response
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.ratelimits import RateLimits
@@ -42,7 +43,7 @@
 REFUSAL_BACKOFF_S = {BUSY: 0.1, ISOLATED: 0.5, STOPPING: 10.0}
 # Largest body that is sent by way of another host.
 MAX_BODY_BYTES = 1_048_576
-# Memory that a response takes beside its body.
+# Memory that a response takes beside its headers and its body.
 RESPONSE_BYTES = 4_096
 
 RELAYS = Counter(
@@ -190,7 +191,8 @@
             raise
         if isinstance(reply, RelayResponse):
             holding = Holding(self.memory, f'relayed by {member.name}')
-            if not holding.resize(RESPONSE_BYTES + len(reply.body)):
+            size = RESPONSE_BYTES + measure_headers(reply.headers)
+            if not holding.resize(size + len(reply.body)):
                 return Lost(server, 'memory limit', False)
             return Response(
                 reply.status, list(reply.headers), reply.body, holding
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -18,6 +18,7 @@
 from cowslipmill.forwarding.requestcontext import OutgoingRequest
 from cowslipmill.forwarding.sendresult import Lost
 from cowslipmill.http1.callerconnection import REQUEST_BYTES
+from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.leasing.leaserequest import Grant
@@ -174,8 +175,8 @@
         offer = self.offers.pop(message.key, None)
         if offer is None or now > offer.expires_at:
             return RelayFailure(False, 'offer expired')
-        size = REQUEST_BYTES + len(message.body)
-        if not offer.holding.resize(size):
+        size = REQUEST_BYTES + measure_headers(message.headers)
+        if not offer.holding.resize(size + len(message.body)):
             return RelayFailure(False, 'memory limit')
         task = current_task()
         assert task is not None
