--- a/cowslipmill/peers/measuredconnection.py
+++ b/cowslipmill/peers/measuredconnection.py
@@ -68,6 +68,8 @@
 
     def start(self) -> None:
         """Counts the connection, which is closed if there is no room."""
+        peer = self.connection.transport.get_extra_info('peername')
+        self.holding.owner = f'connection with {peer}'
         self.holding.allow_eviction(self.abort)
         self.settle()
 
