Read bodies of many small chunks slowly

Cause: a chunk of two bytes takes as much processor time as a large one, some microseconds, and 256 KiB of them are parsed at once for each of the callers in turn. Memory was bounded, processor time wasn't.

--- a/cowslipmill/host/tests/test_memory.py
+++ b/cowslipmill/host/tests/test_memory.py
@@ -76,10 +76,8 @@
 SETTLE_S = 90.0
 TIMEOUT_MS = 8_000
 SOUND_SERVICE = 'scheduler'
-# Bytes that a caller sends before it gives up, and fewer where each costs much
-# processor time.
+# Bytes that a caller sends before it gives up.
 STREAM_BYTES = 8_000_000
-SMALL_CHUNK_BYTES = 1_500_000
 # The key with which the hosts of the tests prove that they are hosts.
 PROOF_KEY = 'default'
 CALL_CODEC = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
@@ -313,32 +311,38 @@
     address: tuple[str, int],
     head: bytes,
     block: bytes,
-    max_bytes: int = STREAM_BYTES,
 ) -> None:
     """Sends bytes until the host closes, and reads nothing."""
     reader, writer = await open_stream(*address)
     sent = 0
     with closing(writer):
         writer.write(head)
-        while sent < max_bytes:
+        while sent < STREAM_BYTES:
             writer.write(block)
             await writer.drain()
             sent += len(block)
             await sleep(0)
 
 
+async def test_a_flood_of_small_chunks_leaves_others_served(
+    host: MeasuredHost,
+) -> None:
+    """Thirty callers kept the processor busy for many seconds."""
+    head, block = CALLER_STREAMS['small chunks']
+    for _ in range(30):
+        host.begin(send_stream(host.settings.callers_listen, head, block))
+    await check_limits(host)
+
+
 @pytest.mark.parametrize('stream', list(CALLER_STREAMS))
 async def test_callers_that_send_without_end_fill_no_host(
     host: MeasuredHost, stream: str
 ) -> None:
     """Thirty connections at once, in every part of a request."""
     head, block = CALLER_STREAMS[stream]
-    max_bytes = STREAM_BYTES
-    if stream == 'small chunks':
-        max_bytes = SMALL_CHUNK_BYTES
     callers = host.settings.callers_listen
     for _ in range(30):
-        host.begin(send_stream(callers, head, block, max_bytes))
+        host.begin(send_stream(callers, head, block))
     with suppress(TimeoutError):
         await wait_for(gather(*host.tasks), WAIT_S)
     await wait_until_settled(host)
@@ -600,7 +604,7 @@
             host.begin(host.send_request(f'/long/{number}'))
         await sleep(0.5)
     for head, block in CALLER_STREAMS.values():
-        host.begin(send_stream(callers, head, block, SMALL_CHUNK_BYTES))
+        host.begin(send_stream(callers, head, block))
     await sleep(3.0)
     await wait_until_settled(host)
     await check_limits(host)
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -18,6 +18,7 @@
 from httptools import HttpParserError
 from httptools import HttpRequestParser
 
+from cowslipmill.http1.chunkpacer import ChunkPacer
 from cowslipmill.http1.message import Body
 from cowslipmill.http1.message import BodyBuffer
 from cowslipmill.http1.message import encode_response_head
@@ -178,6 +179,7 @@
         request_number: Number of the request that is received next.
         unfinished_bytes: Bytes received of a head that isn't complete. The
             parser keeps a header to itself until its line ends.
+        pacer: Slows down a body of many small chunks.
         declared_bytes: Size of the body that the request's head announces.
         input_ended: Whether further input is ignored, since a request asked
             for the connection to be closed or was rejected.
@@ -215,6 +217,7 @@
         self.headers_complete = False
         self.unfinished_bytes = 0
         self.declared_bytes = 0
+        self.pacer = ChunkPacer()
         self.input_ended = False
 
     @property
@@ -307,6 +310,21 @@
             if number == self.request_number and not self.headers_complete:
                 self.unfinished_bytes += len(data)
             self.hold_request()
+            self.pace()
+
+    def pace(self) -> None:
+        """Pauses reading after many small chunks."""
+        pause_s = self.pacer.take_pause_s()
+        if pause_s and self.transport is not None:
+            self.transport.pause_reading()
+            get_running_loop().call_later(pause_s, self.resume_reading)
+
+    def resume_reading(self) -> None:
+        """Reads on, unless enough requests wait or the connection is lost."""
+        if self.transport is None or self.disconnected:
+            return
+        if len(self.pending) < MAX_PIPELINED:
+            self.transport.resume_reading()
 
     def hold_request(self) -> None:
         """Counts the memory of the request that is being received.
@@ -372,6 +390,10 @@
         if expects_continue and not self.input_ended:
             self.write(CONTINUE_RESPONSE, b'', None)
 
+    def on_chunk_header(self) -> None:
+        """Counts a chunk of the body."""
+        self.pacer.chunks += 1
+
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; rejects a body beyond its limit."""
         if self.input_ended:
@@ -439,8 +461,7 @@
                 if close:
                     self.close()
                     return
-            if self.transport is not None and not self.disconnected:
-                self.transport.resume_reading()
+            self.resume_reading()
         except Exception:
             # The request may have run, so no status would be right; closing
             # the connection leaves its outcome open.
