Keep 1,024 rankings of hosts; name the memory of a connection once

256 rankings would have been computed again for each request where a deployment has more than some 25 services in five failure domains. The sites in force have 30 (three services), so that nothing changes there. The memory of a connection of a peer stood twice, with one value.

--- a/cowslipmill/fleet/memberlist.py
+++ b/cowslipmill/fleet/memberlist.py
@@ -17,7 +17,7 @@
 # Limit of the member list; further hosts are ignored.
 MAX_MEMBERS = 8_192
 # Rankings that are kept until the hosts change. Each lists all hosts.
-MAX_RANKINGS = 256
+MAX_RANKINGS = 1_024
 
 
 class MemberState:
--- a/cowslipmill/peers/measuredconnection.py
+++ b/cowslipmill/peers/measuredconnection.py
@@ -16,13 +16,12 @@
 
 from cowslipmill.memory.budget import Holding
 from cowslipmill.memory.budget import MemoryBudget
+from cowslipmill.peers.framequeue import CONNECTION_BYTES
 from cowslipmill.peers.metrics import REFUSED_CONNECTIONS
 from cowslipmill.runtime.readsize import limit_read_size
 
 LOG = getLogger(__name__)
 
-# Memory of a connection whose peer has proved nothing yet.
-CONNECTION_BYTES = 16_384
 # Most bytes that open a connection; a client of this program sends some 300.
 MAX_OPENING_BYTES = 4_096
 # Memory of what was received while the connection opens: each field becomes
@@ -47,7 +46,8 @@
         connection: The connection.
         holding: Its memory.
         opening_bytes: Bytes received until the connection was open.
-        base_bytes: Memory of the connection itself.
+        base_bytes: Memory of the connection itself; 0 once its queue of
+            replies or messages counts it.
         message_bytes: Memory of the messages that are being handled.
         closed: Whether nothing more is counted.
     """
--- a/cowslipmill/peers/tests/test_links.py
+++ b/cowslipmill/peers/tests/test_links.py
@@ -25,9 +25,9 @@
 from cowslipmill.launch.network import Network
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.peers.frame import make_frame_codec
+from cowslipmill.peers.framequeue import CONNECTION_BYTES
 from cowslipmill.peers.link import Unreachable
 from cowslipmill.peers.links import PeerLinks
-from cowslipmill.peers.measuredconnection import CONNECTION_BYTES
 from cowslipmill.peers.server import PeerServer
 from cowslipmill.peers.session import authenticate_to_server
 
