Log requests that a host cuts off, and how late it handled its stop

On-call engineers could not tell a caller that left from a request that its host cut off when it ended: both had the line cancelled with the reason caller left, so that the hypotheses of the incident couldn't be told apart. Such a request has the line cut off now; stopping says how long after the signal it was handled, stopped what was still open and how long the stop took.

The stop is counted from the signal now, as the platform counts, and not from when the event loop came to it: a host that came to it 0.75 s late or more planned to end after SIGKILL.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -153,6 +153,11 @@
             if when is not None and when > answer_at and not timer.expired():
                 timer.reschedule(answer_at)
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that wait for a server or for its response."""
+        return len(self.timers)
+
     async def handle(
         self, request: Request, connection: CallerConnection
     ) -> Response:
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -23,6 +23,7 @@
 from cowslipmill.forwarding.retrybudgets import RetryBudgets
 from cowslipmill.forwarding.sender import Sender
 from cowslipmill.host.requestlog import RequestLog
+from cowslipmill.host.requestlog import to_milliseconds
 from cowslipmill.host.settings import Address
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.http1.callerconnection import CallerConnection
@@ -521,19 +522,29 @@
             limits.header_bytes, limits.body_bytes, limits.header_s, idle_s
         )
 
-    async def drain(self) -> None:
+    async def drain(self, signalled_at: float | None = None) -> None:
         """Drains the host: stops without interrupting a request.
 
         Callers still connect until the platform has noticed that this host is
         not ready, so it goes on serving for at least that long. A request that
         is still being handled when the time to stop runs out is answered:
         refused if it has reached no server, else as unknown.
+
+        Args:
+            signalled_at: When the platform asked for the stop, in monotonic
+                seconds; None for now.
         """
         self.stopping = True
         self.relay_server.stopping = True
         self.callers.closing = True
-        started_at = self.clock()
-        LOG.info('stopping', extra={'open': len(self.callers.connections)})
+        started_at = self.clock() if signalled_at is None else signalled_at
+        LOG.info(
+            'stopping',
+            extra={
+                'open': len(self.callers.connections),
+                'late_ms': to_milliseconds(self.clock() - started_at),
+            },
+        )
         self.gossip.announce_leaving()
         end_at = started_at + (1.0 - EXIT_TIME_FRACTION) * self.settings.stop_s
         self.forwarder.stop(end_at)
@@ -548,4 +559,11 @@
             listener.close()
         self.callers.end()
         self.rpc.abort()
-        LOG.info('stopped', extra={'busy': self.callers.busy})
+        LOG.info(
+            'stopped',
+            extra={
+                'busy': self.callers.busy,
+                'requests': self.forwarder.in_progress,
+                'took_ms': to_milliseconds(self.clock() - started_at),
+            },
+        )
--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -1,7 +1,6 @@
 """The program `cowslipmill-host`, which runs one host in one process."""
 
 from asyncio import create_task
-from asyncio import Event
 from asyncio import get_running_loop
 from asyncio import Runner
 from asyncio import sleep
@@ -9,8 +8,6 @@
 from os import environ
 from pathlib import Path
 from signal import SIGHUP
-from signal import SIGINT
-from signal import SIGTERM
 from time import monotonic
 
 from absl import flags
@@ -19,6 +16,7 @@
 from cowslipmill.host.logs import set_up_json_logs
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.host.settingsfile import SettingsFile
+from cowslipmill.host.stopsignal import StopSignal
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.platform.nodefile import decode_settings
@@ -94,7 +92,6 @@
     Returns:
         The exit status: 1 if the host crashed, else 0.
     """
-    stop = Event()
     loop = get_running_loop()
     store_host, store_port = settings.store
     host = Host(
@@ -130,19 +127,18 @@
             if settings_file.detect_change():
                 reload()
 
-    for signal_number in (SIGTERM, SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
+    stop_signal = StopSignal(loop)
     loop.add_signal_handler(SIGHUP, reload)
     await host.start()
     poll_task = create_task(poll_settings_file())
-    await wait_for_stop(host, stop)
+    await wait_for_stop(host, stop_signal.arrived)
     poll_task.cancel()
     if host.crashed:
         # Without the crashed component, the host would decide by stale state.
         # The process exits instead, and the platform restarts it.
         LOG.error('ended by an internal error')
         return FAILURE_STATUS
-    await host.drain()
+    await host.drain(stop_signal.arrived_at)
     return 0
 
 
--- a/cowslipmill/host/requestlog.py
+++ b/cowslipmill/host/requestlog.py
@@ -185,8 +185,16 @@
         )
 
     def cancelled(self, context: RequestContext, now: float) -> None:
-        """Records that a request ended because its caller disconnected."""
-        self.record_unanswered(context, 'cancelled', 'caller left', now, None)
+        """Records that a request ended without an answer.
+
+        Either its caller disconnected, or this host ended before it had an
+        answer.
+        """
+        if context.caller_left:
+            outcome, reason = 'cancelled', 'caller left'
+        else:
+            outcome, reason = 'cut off', 'this host ended'
+        self.record_unanswered(context, outcome, reason, now, None)
 
     def record_unanswered(
         self,
--- /dev/null
+++ b/cowslipmill/host/stopsignal.py
@@ -0,0 +1,42 @@
+"""The request of the platform that this process stops."""
+
+from asyncio import AbstractEventLoop
+from asyncio import Event
+from signal import SIGINT
+from signal import siginterrupt
+from signal import signal
+from signal import SIGTERM
+from types import FrameType
+
+
+class StopSignal:
+    """Notes when the first SIGTERM or SIGINT arrived.
+
+    The platform counts the time to stop from then on, and a busy event loop
+    handles the signal only later.
+
+    Attributes:
+        loop: The event loop, whose time is used.
+        arrived: Set once the event loop has seen a signal.
+        arrived_at: When the first signal came, in monotonic seconds; None
+            before.
+    """
+
+    __slots__ = ('arrived', 'arrived_at', 'loop')
+
+    def __init__(self, loop: AbstractEventLoop) -> None:
+        """Handles both signals from now on."""
+        self.loop = loop
+        self.arrived = Event()
+        self.arrived_at: float | None = None
+        for number in (SIGTERM, SIGINT):
+            loop.add_signal_handler(number, self.arrived.set)
+            # The loop learns of the signal by its wakeup descriptor, whatever
+            # the handler is.
+            signal(number, self.note_time)
+            siginterrupt(number, False)
+
+    def note_time(self, number: int, frame: FrameType | None) -> None:
+        """Notes the time of the first signal; runs between two bytecodes."""
+        if self.arrived_at is None:
+            self.arrived_at = self.loop.time()
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from itertools import count
+from logging import INFO
 from signal import SIGCONT
 from signal import SIGKILL
 from signal import SIGSTOP
@@ -21,6 +22,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
 
 from cowslipmill.host.host import Host
 from cowslipmill.host.host import READINESS_NOTICE_S
@@ -369,3 +371,37 @@
     assert_that(request.done(), Equals(True))
     assert_that(request.result().status, Equals(503))
     await stopping
+
+
+async def test_a_request_that_its_host_cuts_off_is_logged_as_such(
+    long_fleet: Fleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Its line said that the caller had left."""
+    caplog.set_level(INFO)
+    host = long_fleet.hosts[0]
+    for backend in long_fleet.backends.values():
+        backend.work_s = 5.5
+    request = create_task(long_fleet.send_request('/long/1'))
+    await long_fleet.wait_until(lambda: host.forwarder.in_progress == 1)
+    for connection in host.callers.connections:
+        if connection.task is not None:
+            connection.task.cancel()
+    await long_fleet.wait_until(lambda: host.forwarder.in_progress == 0)
+    request.cancel()
+    events = [record.message for record in caplog.records]
+    assert_that(events.count('cut off'), Equals(1))
+    assert_that(events.count('cancelled'), Equals(0))
+
+
+async def test_a_stop_is_timed_from_its_signal(long_fleet: Fleet) -> None:
+    """The platform kills a process by the time at which it sent SIGTERM."""
+    host = long_fleet.hosts[0]
+    for backend in long_fleet.backends.values():
+        backend.work_s = 5.5
+    request = create_task(long_fleet.send_request('/long/1'))
+    await long_fleet.wait_until(lambda: host.forwarder.in_progress == 1)
+    signalled_at = host.clock() - 1.0
+    await host.drain(signalled_at)
+    took_s = host.clock() - signalled_at
+    assert_that(took_s, LessThan(host.settings.stop_s))
+    assert_that((await request).status, Equals(504))
--- a/cowslipmill/host/tests/virtualtime.py
+++ b/cowslipmill/host/tests/virtualtime.py
@@ -4,6 +4,7 @@
 would make all of them late at once, as no machine of its own does.
 """
 
+from asyncio import get_running_loop
 from asyncio import SelectorEventLoop
 from selectors import DefaultSelector
 from selectors import SelectorKey
@@ -57,3 +58,14 @@
     def time(self) -> float:
         """Returns the time in seconds."""
         return self.clock.now
+
+
+def delay_event_loop(delay_s: float) -> None:
+    """Has the running event loop be late, as on a busy processor.
+
+    Args:
+        delay_s: By how much, in seconds.
+    """
+    loop = get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    loop.clock.now += delay_s
