Answer each request that was read before a stopping host ends

Cause: the end of a stop was a time. A request was taken if its deadline came before the end, but its answer is due up to 30 ms after its deadline, when the process had ended; answers that were due earlier relied on the event loop to be in time.

With an event loop that is late by 0.2 or 0.4 s all that waited were cut off (test_a_request_is_answered_although_its_host_stops_late).

Change: a request is taken if its answer is due before the time at which all are given (0.85 of the grace; servers may be at work until five sixths). After the end of input (0.875 as before) the host waits until no request is without its answer, and for callers that take their answer slowly until 0.95.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -54,8 +54,6 @@
 FAILED_RETRY_AFTER_S = 0.02
 # Retry-After while this host stops; other hosts can take the request at once.
 STOPPING_RETRY_AFTER_S = 0.01
-# Time before the end of this host at which the last requests are answered.
-ANSWER_MARGIN_S = 0.1
 # Retry-After of a host that starts and doesn't know the suspect requests yet;
 # most hosts that start know them within this time.
 STARTING_RETRY_AFTER_S = 0.1
@@ -88,8 +86,9 @@
         budgets: Retry budgets by service.
         response_kilobytes: Average size of responses by route.
         caller_timeouts: Statistics of the timeouts of callers, by route.
-        stop_at: When this host stops, in monotonic seconds; infinity unless
-            it is stopping. A request with a later deadline is refused.
+        answer_at: When the last requests are answered, in monotonic seconds;
+            infinity unless this host is stopping. A request whose response
+            might come later is refused.
         stopping: Set when this host begins to stop.
         timers: The timeouts of the requests in progress.
     """
@@ -132,22 +131,21 @@
         self.caller_timeouts = CallerTimeouts(clock())
         self.route_table: RouteTable | None = None
         self.route_table_version = 0
-        self.stop_at = float('inf')
+        self.answer_at = float('inf')
         self.stopping = Event()
         self.timers: set[Timeout] = set()
 
-    def stop(self, stop_at: float) -> None:
+    def stop(self, answer_at: float) -> None:
         """Has the requests in progress end before this host does.
 
         Those that wait for a server learn now whether they still get one;
-        all others are answered as unknown shortly before the end.
+        all others are answered as unknown when the time has come.
 
         Args:
-            stop_at: When this host stops, in monotonic seconds.
+            answer_at: When the last ones are answered, in monotonic seconds.
         """
-        self.stop_at = stop_at
+        self.answer_at = answer_at
         self.stopping.set()
-        answer_at = stop_at - ANSWER_MARGIN_S
         for timer in self.timers:
             when = timer.when()
             if when is not None and when > answer_at and not timer.expired():
@@ -242,7 +240,7 @@
 
     async def respond(self, context: RequestContext) -> Response:
         """Returns the response to a request; gives up after its deadline."""
-        if context.deadline_at > self.stop_at:
+        if context.deadline_at + DEADLINE_GRACE_S > self.answer_at:
             return self.refuse(context, 'stopping', STOPPING_RETRY_AFTER_S)
         if not self.crash_tracker.gossip.caught_up:
             return self.refuse(context, 'starting', STARTING_RETRY_AFTER_S)
@@ -381,7 +379,7 @@
                 return None
             if not may_wait or until >= context.deadline_at:
                 return Refusal(('', 0), 'servers pause', until - now, 0)
-            if until >= self.stop_at:
+            if until >= self.answer_at:
                 return Refusal(('', 0), 'stopping', STOPPING_RETRY_AFTER_S, 0)
             await self.wait_until(until)
 
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -69,10 +69,15 @@
 # Time after which no caller is sent to a host that is not ready: the platform
 # notices it within two readiness checks.
 READINESS_NOTICE_S = 2.5
-# Fraction of `stop_s` reserved for the exit of the process, which takes 0.08 s
-# of CPU time on hosts that have less than half a CPU.
-EXIT_TIME_FRACTION = 0.125
+# Fractions of `stop_s` after which a stopping host answers the requests that
+# are still open, takes no more, and waits no more for callers to take their
+# answers. A server may be at work until five sixths. The rest is for the exit of the process,
+# which takes 0.08 s of CPU time on hosts that have less than half a CPU.
+ANSWER_FRACTION = 0.85
+INPUT_END_FRACTION = 0.875
+END_FRACTION = 0.95
 DRAIN_POLL_INTERVAL_S = 0.05
+ANSWER_POLL_INTERVAL_S = 0.01
 # Time that a starting host waits for the view of another host before it reads
 # the store itself: at least so long, longer for each host that precedes it in
 # the order of readers, and at most until it would serve. If all start at once,
@@ -528,7 +533,8 @@
         Callers still connect until the platform has noticed that this host is
         not ready, so it goes on serving for at least that long. A request that
         is still being handled when the time to stop runs out is answered:
-        refused if it has reached no server, else as unknown.
+        refused if it has reached no server, else as unknown. Only then does
+        the host end, or shortly before the platform would kill it.
 
         Args:
             signalled_at: When the platform asked for the stop, in monotonic
@@ -546,9 +552,9 @@
             },
         )
         self.gossip.announce_leaving()
-        end_at = started_at + (1.0 - EXIT_TIME_FRACTION) * self.settings.stop_s
-        self.forwarder.stop(end_at)
-        while self.clock() < end_at:
+        stop_s = self.settings.stop_s
+        self.forwarder.stop(started_at + ANSWER_FRACTION * stop_s)
+        while self.clock() < started_at + INPUT_END_FRACTION * stop_s:
             await sleep(DRAIN_POLL_INTERVAL_S)
             now = self.clock()
             readiness_noticed = now - started_at > READINESS_NOTICE_S
@@ -558,11 +564,18 @@
         for listener in self.listeners:
             listener.close()
         self.callers.end()
+        while self.callers.owes_answers:
+            # What still has no answer has been given up and gets one now,
+            # however late; a caller may take an answer for longer.
+            time_is_up = self.clock() >= started_at + END_FRACTION * stop_s
+            if time_is_up and not self.forwarder.in_progress:
+                break
+            await sleep(ANSWER_POLL_INTERVAL_S)
         self.rpc.abort()
         LOG.info(
             'stopped',
             extra={
-                'busy': self.callers.busy,
+                'busy': self.callers.owes_answers,
                 'requests': self.forwarder.in_progress,
                 'took_ms': to_milliseconds(self.clock() - started_at),
             },
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -33,6 +33,7 @@
 from cowslipmill.host.tests.conftest import make_test_configuration
 from cowslipmill.host.tests.conftest import make_test_route
 from cowslipmill.host.tests.conftest import WAIT_S
+from cowslipmill.host.tests.virtualtime import delay_event_loop
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import ConnectFailed
@@ -254,7 +255,7 @@
         create_task(caller.send_requests(f'caller{number}'))
         for number, caller in enumerate(callers)
     ]
-    await sleep(0.5)
+    await processes.wait_until(lambda: len(processes.backend.runs) > 50)
     status = await processes.terminate_then_kill(0)
     await gather(*loads)
     answered = {i for caller in callers for i in caller.answered}
@@ -393,6 +394,51 @@
     assert_that(events.count('cancelled'), Equals(0))
 
 
+@pytest.mark.parametrize('delay_s', [0.2, 0.4])
+async def test_a_request_is_answered_although_its_host_stops_late(
+    long_fleet: Fleet, delay_s: float
+) -> None:
+    """The host ended at a fixed time, before answers that were due."""
+    fleet = long_fleet
+    host = fleet.hosts[0]
+    for backend in fleet.backends.values():
+        backend.work_s = 5.5
+    requests = [
+        create_task(fleet.send_request(f'/long/{n}', deadline_ms=6_000))
+        for n in range(8)
+    ]
+    await fleet.wait_until(lambda: host.forwarder.in_progress == 8)
+    stop_s = host.settings.stop_s
+    get_running_loop().call_later(0.83 * stop_s, delay_event_loop, delay_s)
+    await drain(host)
+    responses = await gather(*requests, return_exceptions=True)
+    statuses = {getattr(response, 'status', None) for response in responses}
+    assert_that(statuses, Equals({503, 504}))
+
+
+async def test_a_request_whose_deadline_is_the_end_of_a_stop_is_answered(
+    long_fleet: Fleet,
+) -> None:
+    """It was taken late in the stop, and due when its host had ended."""
+    fleet = long_fleet
+    host = fleet.hosts[0]
+    await fleet.add_backend('three', slots=40)
+    for backend in fleet.backends.values():
+        backend.work_s = 5.5
+    await fleet.wait_until(lambda: len(host.view.servers) == 3)
+    stopping = create_task(drain(host))
+    await sleep(0.5 * host.settings.stop_s)
+    left_ms = [int(330 * host.settings.stop_s) + 4 * n for n in range(40)]
+    responses = await gather(
+        *(fleet.send_request(f'/long/{ms}', deadline_ms=ms) for ms in left_ms),
+        return_exceptions=True,
+    )
+    await stopping
+    unanswered = [r for r in responses if not isinstance(r, Response)]
+    assert_that(fleet.execution_count(), GreaterThan(0))
+    assert_that(unanswered, Equals([]))
+
+
 async def test_a_stop_is_timed_from_its_signal(long_fleet: Fleet) -> None:
     """The platform kills a process by the time at which it sent SIGTERM."""
     host = long_fleet.hosts[0]
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -163,6 +163,11 @@
         """Whether a request or a response is on its way on a connection."""
         return any(connection.busy for connection in self.connections)
 
+    @property
+    def owes_answers(self) -> bool:
+        """Whether a request that was read whole waits for its response."""
+        return any(connection.owes_answer for connection in self.connections)
+
 
 class CallerConnection(Protocol):
     """A connection from a caller; responds to requests in their order.
@@ -233,10 +238,15 @@
         A request that has been received in part counts, unless it is ignored,
         and so does a response that the caller has not taken yet.
         """
-        if self.task is not None or self.pending:
-            return True
         if self.receiving and not self.input_ended:
             return True
+        return self.owes_answer
+
+    @property
+    def owes_answer(self) -> bool:
+        """Whether a request is handled or its response not taken yet."""
+        if self.task is not None or self.pending:
+            return True
         return self.outgoing is not None and self.outgoing.size > 0
 
     def connection_made(self, transport: BaseTransport) -> None:
