Tell in the soak each request that its host cuts off

The soak held lost answers against nobody: a caller whose connection ended without an answer went on with the next request. Callers now note when and at which host that happened. A request that did not run counts for nothing while the soak's own loop is late, as callers then see a close late.

The tests fail without the check.

--- a/cowslipmill/soak/ledger.py
+++ b/cowslipmill/soak/ledger.py
@@ -26,6 +26,11 @@
 WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 EXTRA_REQUESTS = 5
+# A connection that its host closes on a request later than this after it was
+# sent hasn't crossed it: the host has read the request.
+CROSSING_S = 0.2
+# Excused while callers see late what hosts do.
+CALLERS = 'callers'
 
 
 class Ask(Struct):
@@ -38,6 +43,9 @@
         status: The answer's status; 0 for none.
         body: The answer's body.
         server: The server's mark on the answer.
+        host: IP address of the host that it was sent to.
+        cut_at: When its connection ended without an answer, in monotonic
+            seconds; 0 if it didn't.
     """
 
     request_id: str
@@ -46,6 +54,8 @@
     status: int = 0
     body: bytes = b''
     server: bytes = b''
+    host: str = ''
+    cut_at: float = 0.0
 
 
 class Ledger:
@@ -57,7 +67,8 @@
             when, in monotonic seconds.
         excuses: Times at which a host's process or the link to a server is
             disturbed: the host's IP address or the server's name, from and
-            until, in monotonic seconds.
+            until, in monotonic seconds. What excuses that a host cuts off
+            requests has the name that `process_of` returns.
         broken: Promises that were broken, one line each.
     """
 
@@ -97,6 +108,7 @@
         for ask in self.asks.values():
             if ask.status == SUCCESS:
                 self.check_answer(ask)
+        self.check_lost(backends)
         self.check_crashes([run for b in backends for run in b.runs])
         for backend in backends:
             if backend.name in self.limits:
@@ -105,6 +117,34 @@
             self.check_leaving(backend)
         return self.broken
 
+    def check_lost(self, backends: list[StandinBackend]) -> None:
+        """Checks that no host has cut off a request that it had read.
+
+        A request was read if it ran, or if its connection ended too late to
+        have crossed it. That a host stops, reads its settings or applies a
+        configuration excuses nothing.
+        """
+        servers: dict[str, set[str]] = {}
+        for backend in backends:
+            for run in backend.runs:
+                servers.setdefault(run.request_id, set()).add(backend.name)
+        for ask in self.asks.values():
+            sent_at, cut_at = ask.sent_at, ask.cut_at
+            if not cut_at:
+                continue
+            ran_at = servers.get(ask.request_id, set())
+            names = {process_of(ask.host), *ran_at}
+            if not ran_at:
+                names.add(CALLERS)
+                if cut_at <= sent_at + CROSSING_S:
+                    continue
+            if not self.is_excused(names, sent_at, cut_at):
+                where = ', '.join(sorted(ran_at)) or 'no server'
+                self.broken.append(
+                    f'{ask.request_id}: cut off by {ask.host} after '
+                    f'{cut_at - sent_at:.3f} s, at {where}'
+                )
+
     def check_crashes(self, runs: list[Run]) -> None:
         """Checks how often the request that crashes servers was sent."""
         times = sorted(r.began_at for r in runs if r.body == CRASHER)
@@ -174,3 +214,12 @@
         recent = [ask for ask in self.asks.values() if ask.sent_at >= since]
         served = sum(ask.status == SUCCESS for ask in recent)
         return served / max(1, len(recent))
+
+
+def process_of(host: str) -> str:
+    """Returns the name for what ends or stops a host's process unplanned.
+
+    Args:
+        host: The host's IP address.
+    """
+    return f'process of {host}'
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -94,6 +94,7 @@
         try:
             await world.start(hosts, 6)
             world.spawn(world.keep_running())
+            world.spawn(world.note_lateness())
             for number in range(callers):
                 world.spawn(world.call(seed * 1_000 + number))
             await sleep(WARM_UP_S)
--- a/cowslipmill/soak/tests/test_ledger.py
+++ b/cowslipmill/soak/tests/test_ledger.py
@@ -6,8 +6,10 @@
 from testtools.matchers import Equals
 
 from cowslipmill.soak.ledger import Ask
+from cowslipmill.soak.ledger import CALLERS
 from cowslipmill.soak.ledger import CRASHER
 from cowslipmill.soak.ledger import Ledger
+from cowslipmill.soak.ledger import process_of
 from cowslipmill.soak.plan import draw_plan
 from cowslipmill.standin.backend import Arrival
 from cowslipmill.standin.backend import Run
@@ -135,3 +137,39 @@
 def test_a_seed_always_gives_the_same_plan() -> None:
     assert_that(draw_plan(7, 8.0), Equals(draw_plan(7, 8.0)))
     assert_that(draw_plan(7, 8.0) == draw_plan(8, 8.0), Equals(False))
+
+
+def cut_off(after_s: float) -> Ask:
+    return Ask('q1', False, 10.0, host='1.2.3.4', cut_at=10.0 + after_s)
+
+
+@pytest.mark.parametrize(
+    ('after_s', 'ran', 'excused', 'told'),
+    [
+        (0.1, True, '1.2.3.4', 1),
+        (0.1, True, 'another', 1),
+        (0.1, True, CALLERS, 1),
+        (0.1, True, 'one', 0),
+        (0.1, True, process_of('1.2.3.4'), 0),
+        (0.1, False, 'another', 0),
+        (0.3, False, 'another', 1),
+        (0.3, False, CALLERS, 0),
+        (0.3, False, process_of('1.2.3.4'), 0),
+    ],
+)
+def test_a_request_that_its_host_cuts_off_is_told(
+    after_s: float, ran: bool, excused: str, told: int
+) -> None:
+    ledger = make_ledger(cut_off(after_s))
+    ledger.excuse(excused, 9.0, 5.0)
+    broken = ledger.check([make_backend(*(['q1'] if ran else []))])
+    assert_that(len(broken), Equals(told))
+
+
+def test_a_disturbance_that_was_over_excuses_no_cut() -> None:
+    ledger = make_ledger(cut_off(0.1))
+    ledger.excuse(process_of('1.2.3.4'), 8.0, 1.9)
+    broken = ledger.check([make_backend('q1')])
+    assert_that(
+        broken, Equals(['q1: cut off by 1.2.3.4 after 0.100 s, at one'])
+    )
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -31,8 +31,11 @@
 from cowslipmill.platform.storeapi import CONFIGURATION_KEY
 from cowslipmill.runtime.address import split_address
 from cowslipmill.soak.ledger import Ask
+from cowslipmill.soak.ledger import CALLERS
 from cowslipmill.soak.ledger import CRASHER
+from cowslipmill.soak.ledger import CROSSING_S
 from cowslipmill.soak.ledger import Ledger
+from cowslipmill.soak.ledger import process_of
 from cowslipmill.soak.plan import Fault
 from cowslipmill.soak.plan import LinkCut
 from cowslipmill.soak.plan import Restore
@@ -333,6 +336,7 @@
         source = host.settings.server_source_ip
         if step.fault is Fault.PAUSE_HOST:
             self.excuse(source, step.for_s)
+            self.excuse(process_of(source), step.for_s)
             self.launcher.send_signal(host.name, SIGSTOP)
             await sleep(step.for_s)
             if self.launcher.is_running(host.name):
@@ -345,6 +349,8 @@
         }
         if step.fault is not Fault.RELOAD_HOST:
             self.excuse(source, STOP_S)
+        if step.fault is Fault.KILL_HOST:
+            self.excuse(process_of(source), 0.0)
         host.stopping = host.stopping or step.fault is Fault.STOP_HOST
         self.launcher.send_signal(host.name, numbers[step.fault])
 
@@ -456,17 +462,30 @@
                     connection = await open_connection(
                         host.settings.callers_listen, 0.5
                     )
-                until = loop.time() + PATIENCE_MS / 1000
+                ask.host = host.settings.server_source_ip
+                ask.sent_at = loop.time()
+                until = ask.sent_at + PATIENCE_MS / 1000
                 answer = await connection.exchange(
                     request_of(ask), until=until
                 )
-            except (ConnectFailed, ExchangeFailed, TimeoutError):
+            except (ConnectFailed, ExchangeFailed, TimeoutError) as error:
+                if isinstance(error, ExchangeFailed):
+                    ask.cut_at = loop.time()
                 connection = None
                 continue
             ask.status = answer.status
             ask.body = bytes(answer.body)
             ask.server = answer.header(SIGNATURE)
 
+    async def note_lateness(self) -> None:
+        """Excuses what callers see late as this process itself is late."""
+        loop = get_running_loop()
+        while not self.ended:
+            began_at = loop.time()
+            await sleep(CROSSING_S / 4)
+            if loop.time() > began_at + CROSSING_S / 2:
+                self.ledger.excuse(CALLERS, began_at, loop.time() - began_at)
+
     def limit_server(self, seed: int) -> None:
         """Has a server name a rate limit from now on."""
         names = list(self.backends)
