End no stopping host by a SIGHUP after its last line

Callers saw nothing of it: a host that had answered all and written `stopped` ended with -1 in place of 0 when a SIGHUP came before its process was gone.

Cause: the event loop gives SIGHUP its default back when it is closed, and the interpreter takes some 50 ms to end after that. The loop doesn't handle the signal any more; a handler of the process asks it to reload, and is replaced by ignoring the signal once the host has drained.

--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -8,10 +8,13 @@
 from logging import getLogger
 from os import environ
 from pathlib import Path
+from signal import SIG_IGN
 from signal import SIGHUP
 from signal import SIGINT
+from signal import signal
 from signal import SIGTERM
 from time import monotonic
+from types import FrameType
 
 from absl import flags
 
@@ -130,9 +133,15 @@
             if settings_file.detect_change():
                 reload()
 
+    def request_reload(number: int, frame: FrameType | None) -> None:
+        """Has the event loop reload the settings."""
+        loop.call_soon_threadsafe(reload)
+
     for signal_number in (SIGTERM, SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(SIGHUP, reload)
+    # The loop would give a signal that it handles its default back when it
+    # is closed, and SIGHUP would end the process before it has returned.
+    signal(SIGHUP, request_reload)
     await host.start()
     poll_task = create_task(poll_settings_file())
     await wait_for_stop(host, stop)
@@ -141,8 +150,10 @@
         # Without the crashed component, the host would decide by stale state.
         # The process exits instead, and the platform restarts it.
         LOG.error('ended by an internal error')
+        signal(SIGHUP, SIG_IGN)
         return FAILURE_STATUS
     await host.drain()
+    signal(SIGHUP, SIG_IGN)
     return 0
 
 
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from itertools import count
 from signal import SIGCONT
+from signal import SIGHUP
 from signal import SIGKILL
 from signal import SIGSTOP
 from signal import SIGTERM
@@ -286,6 +287,19 @@
     assert_that(subprocess.run(command, check=False).returncode, Equals(0))
 
 
+async def test_reloads_while_it_stops_end_no_host(
+    processes: HostProcesses,
+) -> None:
+    """They come on until the process has ended, also after its last line."""
+    name = processes.settings[0].name
+    processes.launcher.send_signal(name, SIGTERM)
+    await processes.wait_until_logged(0, '"stopping"', 1)
+    while processes.launcher.is_running(name):
+        processes.launcher.send_signal(name, SIGHUP)
+        await sleep(0.0005)
+    assert_that(processes.launcher.wait(name), Equals(0))
+
+
 async def test_a_request_that_arrives_slowly_is_answered_during_a_stop(
     processes: HostProcesses,
 ) -> None:
