--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -7,8 +7,11 @@
 from logging import getLogger
 from os import environ
 from pathlib import Path
+from signal import SIG_IGN
 from signal import SIGHUP
+from signal import signal
 from time import monotonic
+from types import FrameType
 
 from absl import flags
 
@@ -127,8 +130,14 @@
             if settings_file.detect_change():
                 reload()
 
+    def request_reload(number: int, frame: FrameType | None) -> None:
+        """Has the event loop reload the settings."""
+        loop.call_soon_threadsafe(reload)
+
+    # The loop would give a signal that it handles its default back when it
+    # is closed, and SIGHUP would end the process before it has returned.
+    signal(SIGHUP, request_reload)
     stop_signal = StopSignal(loop)
-    loop.add_signal_handler(SIGHUP, reload)
     await host.start()
     poll_task = create_task(poll_settings_file())
     await wait_for_stop(host, stop_signal.arrived)
@@ -137,8 +146,12 @@
         # Without the crashed component, the host would decide by stale state.
         # The process exits instead, and the platform restarts it.
         LOG.error('ended by an internal error')
+        stop_signal.ignore_further()
+        signal(SIGHUP, SIG_IGN)
         return FAILURE_STATUS
     await host.drain(stop_signal.arrived_at)
+    stop_signal.ignore_further()
+    signal(SIGHUP, SIG_IGN)
     return 0
 
 
--- a/cowslipmill/host/stopsignal.py
+++ b/cowslipmill/host/stopsignal.py
@@ -2,8 +2,8 @@
 
 from asyncio import AbstractEventLoop
 from asyncio import Event
+from signal import SIG_IGN
 from signal import SIGINT
-from signal import siginterrupt
 from signal import signal
 from signal import SIGTERM
 from types import FrameType
@@ -29,14 +29,18 @@
         self.loop = loop
         self.arrived = Event()
         self.arrived_at: float | None = None
+        # The loop would give a signal that it handles its default back when
+        # it is closed, which is before the process has ended.
         for number in (SIGTERM, SIGINT):
-            loop.add_signal_handler(number, self.arrived.set)
-            # The loop learns of the signal by its wakeup descriptor, whatever
-            # the handler is.
             signal(number, self.note_time)
-            siginterrupt(number, False)
+
+    def ignore_further(self) -> None:
+        """Ignores both signals, as the process ends by itself now."""
+        for number in (SIGTERM, SIGINT):
+            signal(number, SIG_IGN)
 
     def note_time(self, number: int, frame: FrameType | None) -> None:
         """Notes the time of the first signal; runs between two bytecodes."""
         if self.arrived_at is None:
             self.arrived_at = self.loop.time()
+            self.loop.call_soon_threadsafe(self.arrived.set)
--- a/cowslipmill/host/tests/test_stop.py
+++ b/cowslipmill/host/tests/test_stop.py
@@ -11,6 +11,7 @@
 from itertools import count
 from logging import INFO
 from signal import SIGCONT
+from signal import SIGHUP
 from signal import SIGKILL
 from signal import SIGSTOP
 from signal import SIGTERM
@@ -289,6 +290,20 @@
     assert_that(subprocess.run(command, check=False).returncode, Equals(0))
 
 
+@pytest.mark.parametrize('number', [SIGHUP, SIGTERM])
+async def test_further_signals_while_it_stops_end_no_host(
+    processes: HostProcesses, number: int
+) -> None:
+    """They come on until the process has ended, also after its last line."""
+    name = processes.settings[0].name
+    processes.launcher.send_signal(name, SIGTERM)
+    await processes.wait_until_logged(0, '"stopping"', 1)
+    while processes.launcher.is_running(name):
+        processes.launcher.send_signal(name, number)
+        await sleep(0.0005)
+    assert_that(processes.launcher.wait(name), Equals(0))
+
+
 async def test_a_request_that_arrives_slowly_is_answered_during_a_stop(
     processes: HostProcesses,
 ) -> None:
