Follow the settings file after one that isn't UTF-8

What operators saw: after a settings file with one byte that isn't UTF-8 (a file half written, or in another encoding) a host read no later change of it until its next start. On SIGHUP it said nothing of the file in the words of other unusable ones.

Cause: `UnicodeDecodeError` is neither an `OSError` nor an `InvalidField`, so it left `reload` and ended the task that polls the file; nobody waits for that task.

The file is decoded beside its fields, and the error names the field of the line. Any other error in a reload is logged, and polling goes on.

--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -21,10 +21,11 @@
 from cowslipmill.host.settingsfile import SettingsFile
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
-from cowslipmill.platform.nodefile import decode_settings
+from cowslipmill.platform.nodefile import decode_file
 from cowslipmill.platform.nodefile import DEFAULT_PATH
 from cowslipmill.platform.nodefile import PATH_VARIABLE
 from cowslipmill.platform.storeapi import PlatformStoreApi
+from cowslipmill.runtime.backgrounderrors import logged_errors
 from cowslipmill.runtime.program import define_settings_flag
 from cowslipmill.runtime.program import FAILURE_STATUS
 from cowslipmill.runtime.program import run_program
@@ -77,7 +78,7 @@
     if FLAGS.settings:
         return load_settings(path, HostSettings)
     try:
-        return decode_settings(path.read_text())
+        return decode_file(path.read_bytes())
     except OSError as error:
         raise UsageError(f'{path}: {error.strerror}') from error
     except InvalidField as error:
@@ -128,7 +129,8 @@
         while True:
             await sleep(SETTINGS_POLL_INTERVAL_S)
             if settings_file.detect_change():
-                reload()
+                with logged_errors('settings'):
+                    reload()
 
     for signal_number in (SIGTERM, SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
--- a/cowslipmill/platform/nodefile.py
+++ b/cowslipmill/platform/nodefile.py
@@ -5,6 +5,7 @@
 from cowslipmill.host.settings import DEFAULT_MEMORY_MB
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.platform.errors import InvalidField
+from cowslipmill.platform.fields import QUOTED_CHARACTERS
 from cowslipmill.platform.fields import read_address
 from cowslipmill.runtime.names import MAX_NAME_CHARACTERS
 
@@ -15,6 +16,25 @@
 MEMORY_FIELD = 'Limits.MemoryMb'
 
 
+def decode_file(raw: bytes) -> HostSettings:
+    """Returns the settings of a host.
+
+    Args:
+        raw: Content of the file; see `decode_settings`.
+
+    Raises:
+        InvalidField: If the file isn't UTF-8, or a field is missing or
+            invalid.
+    """
+    try:
+        text = raw.decode()
+    except UnicodeDecodeError as error:
+        line = raw[: error.start].rpartition(b'\n')[2].decode()
+        name, _ = split_line(line)
+        raise InvalidField(name[:QUOTED_CHARACTERS], 'not UTF-8') from error
+    return decode_settings(text)
+
+
 def decode_settings(text: str) -> HostSettings:
     """Returns the settings of a host.
 
