Read settings that change while a host starts

What operators saw: a host whose settings file was replaced just after its first read kept the old seeds until the file changed once more or a later SIGHUP came; a SIGHUP is ignored until the host is built.

Cause: the file was read first, and its signature taken when the host had been built, so that a change between the two was never one.

The signature is now taken before the first read, so that the first look at the file finds any later change. The tests replace the file in place of writing into it, as the polled ones read an empty file in one of three runs.

--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -85,12 +85,13 @@
         raise UsageError(f'{path}: {error}') from error
 
 
-async def serve(settings: HostSettings, path: Path) -> int:
+async def serve(settings: HostSettings, settings_file: SettingsFile) -> int:
     """Runs the host until a signal stops it or it crashes.
 
     Args:
         settings: The settings as read from the file.
-        path: The settings file, which is read again when it changes.
+        settings_file: The settings file as it was before it was read, which
+            is read again when it changes.
 
     Returns:
         The exit status: 1 if the host crashed, else 0.
@@ -106,8 +107,6 @@
         metrics_port=FLAGS.metrics_port,
     )
 
-    settings_file = SettingsFile(path)
-
     def reload() -> None:
         """Reads the settings again and applies the seeds.
 
@@ -117,7 +116,7 @@
         # Keeps the periodic check from reading the same change again.
         settings_file.detect_change()
         try:
-            reloaded = read_settings(path)
+            reloaded = read_settings(settings_file.path)
         except (InvalidSettings, UsageError) as error:
             LOG.warning('settings not usable', extra={'reason': str(error)})
             return
@@ -150,11 +149,11 @@
 
 def main(arguments: list[str]) -> int:
     """Serves callers on one host."""
-    path = settings_path()
-    settings = read_settings(path)
+    settings_file = SettingsFile(settings_path())
+    settings = read_settings(settings_file.path)
     set_up_json_logs(settings.name, monotonic)
     with Runner() as runner:
-        return runner.run(serve(settings, path))
+        return runner.run(serve(settings, settings_file))
 
 
 def run() -> None:
--- a/cowslipmill/host/tests/test_settingsreload.py
+++ b/cowslipmill/host/tests/test_settingsreload.py
@@ -44,12 +44,24 @@
 Bounds.RetryBudgetRatio=0.2
 Bounds.BudgetSlack=64
 """
-# Runs the program with a given interval between looks at the file.
+# Runs the program with a given interval between looks at the file, and
+# writes the file anew after the first read if there is another content.
 START_CODE = """\
 from os import environ
+from pathlib import Path
 from cowslipmill.host import program
 
 program.SETTINGS_POLL_INTERVAL_S = float(environ['POLL_S'])
+set_up = program.set_up_json_logs
+path = Path(environ['SETTINGS_PATH'])
+
+def set_up_and_write(*arguments):
+    later = path.with_suffix('.later')
+    if later.exists():
+        later.rename(path)
+    return set_up(*arguments)
+
+program.set_up_json_logs = set_up_and_write
 program.run()
 """
 
@@ -91,6 +103,12 @@
         }
         return dumps(fields).encode()
 
+    def write(self, content: bytes) -> None:
+        """Replaces the file, so that nobody reads a part of it."""
+        other = self.path.with_suffix('.new')
+        other.write_bytes(content)
+        other.rename(self.path)
+
     def start(self, poll_s: float = 0.05) -> None:
         """Starts the process, which writes its log beside the file.
 
@@ -98,7 +116,11 @@
             poll_s: Seconds between two looks at the file.
         """
         command = [sys.executable, '-c', START_CODE]
-        variables = {**environ, 'POLL_S': str(poll_s)}
+        variables = {
+            **environ,
+            'POLL_S': str(poll_s),
+            'SETTINGS_PATH': str(self.path),
+        }
         if self.is_json:
             command.append(f'--settings={self.path}')
         else:
@@ -183,18 +205,16 @@
 ) -> None:
     """Each is told in one line, and the file after it is read."""
     host, seed = hosts
-    host.path.write_bytes(host.encode(''))
+    host.write(host.encode(''))
     host.start(60.0 if has_signal else 0.05)
     await host.wait_for('started', 1)
     contents = unusable_contents(host)
     for number, (content, named) in enumerate(contents.values(), 1):
-        host.path.write_bytes(host.encode(seed.control))
+        host.write(host.encode(seed.control))
         if has_signal:
             host.signal()
         await host.wait_for('settings read', number)
-        other = host.path.with_suffix('.new')
-        other.write_bytes(content)
-        other.rename(host.path)
+        host.write(content)
         if has_signal:
             host.signal()
         lines = await host.wait_for('settings not usable', number)
@@ -203,7 +223,7 @@
         await sleep(0.3)
         assert_that(host.events('settings not usable'), HasLength(number))
     # The seeds of the last file that could be used still lead to the others.
-    seed.path.write_bytes(seed.encode(''))
+    seed.write(seed.encode(''))
     seed.start()
     await host.wait_for('host known', 1)
 
@@ -213,7 +233,7 @@
 ) -> None:
     """The file may be away for a moment as it is replaced."""
     host, seed = hosts
-    host.path.write_bytes(host.encode(seed.control))
+    host.write(host.encode(seed.control))
     host.start()
     await host.wait_for('started', 1)
     host.path.unlink()
@@ -225,9 +245,22 @@
     host.signal()
     lines = await host.wait_for('settings not usable', 2)
     host.path.rmdir()
-    seed.path.write_bytes(seed.encode(''))
+    seed.write(seed.encode(''))
     seed.start()
     await host.wait_for('host known', 1)
-    host.path.write_bytes(host.encode(f'{host.control},{seed.control}'))
+    host.write(host.encode(f'{host.control},{seed.control}'))
+    lines = await host.wait_for('settings read', 1)
+    assert_that(lines[0]['seeds'], Equals(2))
+
+
+async def test_settings_that_change_while_a_host_starts_are_read(
+    hosts: list[SettingsOfHost],
+) -> None:
+    """After its first read, and before it handles SIGHUP."""
+    host, seed = hosts
+    host.write(host.encode(''))
+    later = host.path.with_suffix('.later')
+    later.write_bytes(host.encode(f'{host.control},{seed.control}'))
+    host.start()
     lines = await host.wait_for('settings read', 1)
     assert_that(lines[0]['seeds'], Equals(2))
