--- a/cowslipmill/host/program.py
+++ b/cowslipmill/host/program.py
@@ -22,10 +22,11 @@
 from cowslipmill.host.stopsignal import StopSignal
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
-from cowslipmill.platform.nodefile import decode_settings
+from cowslipmill.platform.nodefile import decode_file
 from cowslipmill.platform.nodefile import DEFAULT_PATH
 from cowslipmill.platform.nodefile import PATH_VARIABLE
 from cowslipmill.platform.storeapi import PlatformStoreApi
+from cowslipmill.runtime.backgrounderrors import logged_errors
 from cowslipmill.runtime.program import define_settings_flag
 from cowslipmill.runtime.program import FAILURE_STATUS
 from cowslipmill.runtime.program import run_program
@@ -78,19 +79,20 @@
     if FLAGS.settings:
         return load_settings(path, HostSettings)
     try:
-        return decode_settings(path.read_text())
+        return decode_file(path.read_bytes())
     except OSError as error:
         raise UsageError(f'{path}: {error.strerror}') from error
     except InvalidField as error:
         raise UsageError(f'{path}: {error}') from error
 
 
-async def serve(settings: HostSettings, path: Path) -> int:
+async def serve(settings: HostSettings, settings_file: SettingsFile) -> int:
     """Runs the host until a signal stops it or it crashes.
 
     Args:
         settings: The settings as read from the file.
-        path: The settings file, which is read again when it changes.
+        settings_file: The settings file as it was before it was read, which
+            is read again when it changes.
 
     Returns:
         The exit status: 1 if the host crashed, else 0.
@@ -105,8 +107,6 @@
         metrics_port=FLAGS.metrics_port,
     )
 
-    settings_file = SettingsFile(path)
-
     def reload() -> None:
         """Reads the settings again and applies the seeds.
 
@@ -116,7 +116,7 @@
         # Keeps the periodic check from reading the same change again.
         settings_file.detect_change()
         try:
-            reloaded = read_settings(path)
+            reloaded = read_settings(settings_file.path)
         except (InvalidSettings, UsageError) as error:
             LOG.warning('settings not usable', extra={'reason': str(error)})
             return
@@ -128,7 +128,8 @@
         while True:
             await sleep(SETTINGS_POLL_INTERVAL_S)
             if settings_file.detect_change():
-                reload()
+                with logged_errors('settings'):
+                    reload()
 
     def request_reload(number: int, frame: FrameType | None) -> None:
         """Has the event loop reload the settings."""
@@ -157,11 +158,11 @@
 
 def main(arguments: list[str]) -> int:
     """Serves callers on one host."""
-    path = settings_path()
-    settings = read_settings(path)
+    settings_file = SettingsFile(settings_path())
+    settings = read_settings(settings_file.path)
     set_up_json_logs(settings.name, monotonic)
     with Runner() as runner:
-        return runner.run(serve(settings, path))
+        return runner.run(serve(settings, settings_file))
 
 
 def run() -> None:
