End no response that its caller is taking to make room

Cause: of all responses held, the largest was ended to make room, and one that a caller is taking is always whole and so the largest. It can't be answered any more, whereas one that is still arriving can (502).

Change: a response makes room only once its caller has taken nothing of it for 1 s.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -45,6 +45,9 @@
 # Longest time for which the rest of a rejected request is read. Closing
 # at once would reset the connection, and the caller would lose the response.
 LINGER_S = 10.0
+# Time for which a caller may take nothing of its response before that makes
+# room for others.
+STALL_S = 1.0
 # Longest time that a request may take to arrive; no caller waits so long.
 MAX_RECEIVE_S = 60.0
 # Retry-After of a request for which there is no memory; other hosts may have
@@ -194,6 +197,8 @@
         untaken_bytes: Bytes of responses that the caller had not taken at
             `untaken_since`.
         untaken_since: Monotonic seconds since when it has taken none of them.
+        untaken: The memory of the response that it is taking; None if there
+            is none, or if the memory isn't counted.
     """
 
     def __init__(self, server: CallerServer) -> None:
@@ -205,6 +210,7 @@
         self.request_number = 0
         self.untaken_bytes = 0
         self.untaken_since = 0.0
+        self.untaken: Holding | None = None
         self.disconnected = False
         self.parser = HttpRequestParser(self)
         self.pending: deque[Request] = deque()
@@ -487,18 +493,19 @@
     async def drain(self, response: Response) -> None:
         """Waits until the caller has taken a response.
 
-        Meanwhile the connection may be aborted to make room.
+        Once it takes nothing for a time, the connection may be aborted to
+        make room.
         """
         outgoing = self.outgoing
         if outgoing is None or outgoing.empty:
             return
         self.untaken_bytes = outgoing.size
         self.untaken_since = self.server.clock()
-        if response.holding is not None:
-            response.holding.allow_eviction(self.abort)
+        self.untaken = response.holding
         try:
             await outgoing.drain()
         finally:
+            self.untaken = None
             if response.holding is not None:
                 response.holding.forbid_eviction()
 
@@ -539,12 +546,7 @@
         """
         limits = self.server.limits
         if self.outgoing is not None and not self.outgoing.empty:
-            size = self.outgoing.size
-            if size != self.untaken_bytes:
-                self.untaken_bytes = size
-                self.untaken_since = now
-            elif now - self.untaken_since > limits.idle_s:
-                self.abort()
+            self.check_progress(now)
             return
         if self.task is not None or self.pending:
             return
@@ -556,6 +558,26 @@
         if now - self.phase_started_at > limits.idle_s:
             self.close()
 
+    def check_progress(self, now: float) -> None:
+        """Looks whether the caller goes on taking its response.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        assert self.outgoing is not None
+        size = self.outgoing.size
+        if size != self.untaken_bytes:
+            self.untaken_bytes = size
+            self.untaken_since = now
+            if self.untaken is not None:
+                self.untaken.forbid_eviction()
+            return
+        stalled_s = now - self.untaken_since
+        if stalled_s > self.server.limits.idle_s:
+            self.abort()
+        elif stalled_s > STALL_S and self.untaken is not None:
+            self.untaken.allow_eviction(self.abort)
+
     def write(self, head: bytes, body: Body, owner: object) -> None:
         """Writes a message to the connection unless it is lost.
 
