--- a/cowslipmill/host/tests/test_lostanswers.py
+++ b/cowslipmill/host/tests/test_lostanswers.py
@@ -7,6 +7,7 @@
 from asyncio import create_task
 from asyncio import open_connection
 from asyncio import sleep
+from asyncio import timeout
 
 import pytest
 from testtools.assertions import assert_that
@@ -17,6 +18,8 @@
 
 # Longer than a caller may be left without an answer after its last byte.
 WORK_S = 0.6
+# `Bounds.LossSlackMs` of the platform.
+SLACK_S = 0.2
 
 
 def encode_request(request_id: str) -> bytes:
@@ -66,3 +69,17 @@
     writer.close()
     await stopping
     assert_that(answers.count(b'HTTP/1.1 '), Equals(requests))
+
+
+async def test_a_host_that_ends_leaves_no_request_in_part_open(
+    fleet: Fleet,
+) -> None:
+    """Its rest would be read, and not answered while the process exits."""
+    host = fleet.hosts[0]
+    reader, writer = await open_connection(*host.settings.callers_listen)
+    writer.write(encode_request('slow')[:-1])
+    await sleep(0.1)
+    await host.drain()
+    async with timeout(SLACK_S):
+        assert_that(await reader.read(), Equals(b''))
+    writer.close()
