Serve a request for another protocol, and reject in turn

Callers saw: a request in progress lost its answer when one with Upgrade or CONNECT came behind it on its connection; before a rejected request the answer came, but the rejected one got none.

Cause: httptools raises HttpParserUpgrade, which is no HttpParserError and left data_received, so that asyncio closed the connection at once. reject() sent nothing while earlier requests were in progress.

Change: RFC 9110, 7.8: Upgrade is ignored. The parser stops at such a request and skips its body, so a new parser gets the head without the field and the rest. CONNECT gets 501 in its turn, and the connection closes, as what follows may be no HTTP. A rejection waits for the responses to the requests before it.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -16,11 +16,13 @@
 from typing import cast
 
 from httptools import HttpParserError
+from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
 
 from cowslipmill.http1.chunkpacer import ChunkPacer
 from cowslipmill.http1.message import Body
 from cowslipmill.http1.message import BodyBuffer
+from cowslipmill.http1.message import encode_headers
 from cowslipmill.http1.message import encode_response_head
 from cowslipmill.http1.message import HEADER_OVERHEAD_BYTES
 from cowslipmill.http1.message import Headers
@@ -182,8 +184,11 @@
             parser keeps a header to itself until its line ends.
         pacer: Slows down a body of many small chunks.
         declared_bytes: Size of the body that the request's head announces.
+        upgrading: Whether its head asks for another protocol.
         input_ended: Whether further input is ignored, since a request asked
             for the connection to be closed or was rejected.
+        rejection: The error response to a rejected request, until it is sent
+            after the responses to the requests before it.
         holding: The memory of the connection and of the request that is being
             received; a complete request has its own.
         untaken_bytes: Bytes of responses that the caller had not taken at
@@ -207,6 +212,8 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.phase_started_at = server.clock()
         self.receiving = False
+        self.input_ended = False
+        self.rejection: Response | None = None
         self.clear_request()
 
     def clear_request(self) -> None:
@@ -218,8 +225,8 @@
         self.headers_complete = False
         self.unfinished_bytes = 0
         self.declared_bytes = 0
+        self.upgrading = False
         self.pacer = ChunkPacer()
-        self.input_ended = False
 
     @property
     def idle(self) -> bool:
@@ -306,6 +313,8 @@
         number = self.request_number
         try:
             self.parser.feed_data(data)
+        except HttpParserUpgrade as upgrade:
+            self.parse_on(data, upgrade)
         except HttpParserError:
             self.reject(400)
         if self.receiving and not self.input_ended:
@@ -314,6 +323,44 @@
             self.hold_request()
             self.pace()
 
+    def parse_on(self, data: bytes, upgrade: HttpParserUpgrade) -> None:
+        """Parses requests for another protocol as if they didn't ask for it.
+
+        RFC 9110, 7.8, lets a server ignore the field. The parser stops at
+        such a request and skips its body, so that a new one is given the
+        head without the field, and the bytes after it.
+
+        Args:
+            data: What the parser was fed.
+            upgrade: Tells where it stopped.
+        """
+        rest = memoryview(data)
+        while not self.input_ended:
+            rest = rest[upgrade.args[0] :]
+            head = self.encode_plain_head()
+            self.clear_request()
+            self.parser = HttpRequestParser(self)
+            try:
+                self.parser.feed_data(head)
+                self.parser.feed_data(rest)
+            except HttpParserUpgrade as next_upgrade:
+                upgrade = next_upgrade
+            except HttpParserError:
+                self.reject(400)
+            else:
+                return
+
+    def encode_plain_head(self) -> bytes:
+        """Serializes the received head without its `Upgrade` field."""
+        version = self.parser.get_http_version().encode()
+        lines = [
+            self.parser.get_method() + b' ' + self.target + b' HTTP/' + version
+        ]
+        lines += encode_headers(
+            header for header in self.headers if header[0] != b'upgrade'
+        )
+        return b'\r\n'.join(lines) + b'\r\n\r\n'
+
     def pace(self) -> None:
         """Pauses reading after many small chunks."""
         pause_s = self.pacer.take_pause_s()
@@ -374,9 +421,15 @@
         """Sends 100 Continue if the caller expects it.
 
         Rejects a request whose body is announced to be too large, or for
-        which there is no memory, before the body arrives.
+        which there is no memory, before the body arrives. CONNECT gets status
+        501, and what follows it isn't read, as it may be no HTTP.
         """
         self.headers_complete = True
+        if self.parser.should_upgrade():
+            self.upgrading = True
+            if self.parser.get_method() == b'CONNECT':
+                self.reject(501)
+            return
         self.unfinished_bytes = 0
         expects_continue = False
         for name, value in self.headers:
@@ -407,7 +460,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request and starts the task that handles it."""
-        if self.input_ended:
+        if self.input_ended or self.upgrading:
             return
         keep_alive = self.parser.should_keep_alive()
         request = self.take_request()
@@ -452,7 +505,11 @@
                 if response is None:
                     self.close()
                     return
-                is_last = self.input_ended and not self.pending
+                is_last = (
+                    self.input_ended
+                    and not self.pending
+                    and self.rejection is None
+                )
                 close = is_last or self.server.closing
                 omit_body = request.method == b'HEAD'
                 head = encode_response_head(response, close=close)
@@ -463,6 +520,8 @@
                 if close:
                     self.close()
                     return
+            if self.rejection is not None and not self.disconnected:
+                self.send_rejection(self.rejection)
             self.resume_reading()
         except Exception:
             # The request may have run, so no status would be right; closing
@@ -495,9 +554,8 @@
     def reject(self, status: int) -> None:
         """Ignores further input, sends an error status and closes.
 
-        What the caller still sends is discarded for a while. If an earlier
-        request is being handled, the connection closes after its response
-        instead, and no error status is sent.
+        The status comes after the responses to the requests before it. What
+        the caller still sends is discarded for a while.
         """
         if self.input_ended:
             return
@@ -505,12 +563,15 @@
         self.input_ended = True
         self.receiving = False
         self.holding.resize(CONNECTION_BYTES)
-        if self.task is not None or self.pending:
-            return
         headers: Headers = []
         if status == 503:
             headers.append((b'retry-after', b'%.3f' % MEMORY_RETRY_AFTER_S))
-        response = Response(status, headers, b'')
+        self.rejection = Response(status, headers, b'')
+        if self.task is None and not self.pending:
+            self.send_rejection(self.rejection)
+
+    def send_rejection(self, response: Response) -> None:
+        """Sends an error response as the last one and closes later."""
         self.write(encode_response_head(response, close=True), b'', None)
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
--- a/cowslipmill/http1/message.py
+++ b/cowslipmill/http1/message.py
@@ -34,6 +34,7 @@
     408: b'Request Timeout',
     413: b'Content Too Large',
     431: b'Request Header Fields Too Large',
+    501: b'Not Implemented',
     502: b'Bad Gateway',
     503: b'Service Unavailable',
     504: b'Gateway Timeout',
--- /dev/null
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -0,0 +1,217 @@
+"""Tests of what may come after a request on a caller's connection.
+
+Guard against the loss of the answer to the request before it.
+"""
+
+from asyncio import AbstractServer
+from asyncio import CancelledError
+from asyncio import get_running_loop
+from asyncio import open_connection
+from asyncio import sleep
+from asyncio import StreamReader
+from asyncio import StreamWriter
+from asyncio import timeout
+from collections.abc import AsyncIterator
+import re
+from typing import Any
+
+import pytest
+import pytest_asyncio
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import Not
+
+from cowslipmill.http1.callerconnection import CallerConnection
+from cowslipmill.http1.callerconnection import CallerLimits
+from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.message import Request
+from cowslipmill.http1.message import Response
+
+LIMITS = CallerLimits(1_000, 5_000, 3.0, 15.0)
+WORK_S = 0.1
+PAUSE_S = 0.03
+WAIT_S = 5.0
+UPGRADE = b'connection: upgrade\r\nupgrade: %b\r\n'
+
+
+def make_request(name: bytes, fields: bytes = b'', body: bytes = b'') -> bytes:
+    """Returns the bytes of a request whose answer names it."""
+    if body:
+        fields += b'content-length: %d\r\n' % len(body)
+    return b'POST /%b HTTP/1.1\r\nhost: a\r\n%b\r\n%b' % (name, fields, body)
+
+
+class Caller:
+    """A listener whose handler takes a while, and a connection to it.
+
+    Attributes:
+        handled: The requests that reached the handler.
+        error: What the handler raises; None if it responds.
+    """
+
+    def __init__(self) -> None:
+        """Makes the protocol factory; the fixture listens and connects."""
+        self.handled: list[Request] = []
+        self.error: BaseException | None = None
+        self.work_s = WORK_S
+        self.server = CallerServer(
+            self.handle, LIMITS, get_running_loop().time
+        )
+        self.reader: StreamReader
+        self.writer: StreamWriter
+
+    async def handle(
+        self, request: Request, connection: CallerConnection
+    ) -> Response | None:
+        """Responds with the request's target and body after a while."""
+        self.handled.append(request)
+        await sleep(self.work_s)
+        if self.error is not None:
+            raise self.error
+        return Response(200, [], request.target + b' ' + bytes(request.body))
+
+    async def send(self, *parts: bytes) -> None:
+        """Sends parts, each a little after the one before it."""
+        for part in parts:
+            self.writer.write(part)
+            await sleep(PAUSE_S)
+
+    async def receive_all(self) -> list[str]:
+        """Returns the status and body of each answer until the close."""
+        async with timeout(WAIT_S):
+            return parse_answers(await self.reader.read())
+
+    async def receive(self, count: int) -> list[str]:
+        """Returns the status and body of the next answers."""
+        data = b''
+        async with timeout(WAIT_S):
+            while (
+                data.count(b'HTTP/1.1 ') < count
+                or len(parse_answers(data)) < count
+            ):
+                part = await self.reader.read(65_536)
+                if not part:
+                    break
+                data += part
+        return parse_answers(data)
+
+
+def parse_answers(data: bytes) -> list[str]:
+    """Returns the status and body of each complete answer."""
+    answers = []
+    while b'\r\n\r\n' in data:
+        head, _, data = data.partition(b'\r\n\r\n')
+        length = re.search(rb'content-length: (\d+)', head)
+        size = int(length[1]) if length else 0
+        if len(data) < size:
+            break
+        body, data = data[:size], data[size:]
+        answers.append((head[9:12] + b' ' + body).decode().strip())
+    return answers
+
+
+async def listen(caller: Caller) -> AbstractServer:
+    """Listens and connects."""
+    listener = await get_running_loop().create_server(
+        caller.server, '127.0.0.1', 0
+    )
+    address = listener.sockets[0].getsockname()
+    caller.reader, caller.writer = await open_connection(*address)
+    return listener
+
+
+@pytest_asyncio.fixture
+async def caller() -> AsyncIterator[Caller]:
+    """Starts a listener and connects to it."""
+    caller = Caller()
+    listener = await listen(caller)
+    yield caller
+    caller.writer.close()
+    listener.close()
+
+
+@pytest.mark.parametrize('protocol', [b'websocket', b'h2c'])
+@pytest.mark.parametrize('cut', [0, 40])
+async def test_a_request_for_another_protocol_is_served_as_a_plain_one(
+    caller: Caller, protocol: bytes, cut: int
+) -> None:
+    """The one before it and the one after it keep their answers."""
+    upgrade = make_request(b'2', UPGRADE % protocol)
+    rest = upgrade[cut:] + make_request(b'3')
+    await caller.send(make_request(b'1'), upgrade[:cut], rest)
+    assert_that(
+        await caller.receive(3), Equals(['200 /1', '200 /2', '200 /3'])
+    )
+    fields = [header[0] for header in caller.handled[1].headers]
+    assert_that(fields, Equals([b'host', b'connection']))
+
+
+@pytest.mark.parametrize(
+    ('fields', 'body'),
+    [
+        (b'content-length: 3\r\n', b'abc'),
+        (
+            b'transfer-encoding: chunked\r\n',
+            b'1\r\na\r\n2\r\nbc\r\n0\r\n\r\n',
+        ),
+    ],
+)
+@pytest.mark.parametrize('step', [1, 7, 1_000])
+async def test_a_request_for_another_protocol_keeps_its_body(
+    caller: Caller, fields: bytes, body: bytes, step: int
+) -> None:
+    odd = make_request(b'2', UPGRADE % b'h2c' + fields) + body
+    data = make_request(b'1') + odd + odd + make_request(b'3')
+    for start in range(0, len(data), step):
+        caller.writer.write(data[start : start + step])
+        await sleep(0)
+    assert_that(
+        await caller.receive(4),
+        Equals(['200 /1', '200 /2 abc', '200 /2 abc', '200 /3']),
+    )
+
+
+async def test_requests_for_another_protocol_may_be_the_last(
+    caller: Caller,
+) -> None:
+    """As any request that asks for the connection to be closed."""
+    fields = b'connection: upgrade, close\r\nupgrade: h2c\r\n'
+    await caller.send(make_request(b'1') + make_request(b'2', fields))
+    assert_that(await caller.receive_all(), Equals(['200 /1', '200 /2']))
+
+
+async def test_many_requests_for_another_protocol_are_answered(
+    caller: Caller,
+) -> None:
+    """In one read, so that nothing may be done in a recursion."""
+    caller.work_s = 0.0
+    caller.writer.write(make_request(b'1', UPGRADE % b'x') * 2_000)
+    answers = await caller.receive(2_000)
+    assert_that(answers, Equals(['200 /1'] * 2_000))
+
+
+async def test_a_tunnel_is_refused_after_the_requests_before_it(
+    caller: Caller,
+) -> None:
+    """What follows may be of any protocol."""
+    connect = b'CONNECT a:1 HTTP/1.1\r\nhost: a:1\r\n\r\n'
+    await caller.send(make_request(b'1'), connect + make_request(b'2'))
+    assert_that(await caller.receive_all(), Equals(['200 /1', '501']))
+    assert_that(len(caller.handled), Equals(1))
+
+
+@pytest.mark.parametrize(
+    ('odd', 'status'),
+    [
+        (b'\x16\x03\x01 hello\r\n\r\n', '400'),
+        (b'GET /2 HTTP/1.1\r\nx: ' + b'y' * 3_000, '431'),
+        (make_request(b'2', b'content-length: 9000\r\n'), '413'),
+        (b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n', '400'),
+    ],
+)
+async def test_a_rejected_request_is_answered_in_its_turn(
+    caller: Caller, odd: bytes, status: str
+) -> None:
+    await caller.send(make_request(b'1'), odd)
+    assert_that(await caller.receive_all(), Equals(['200 /1', status]))
