Guard connections of callers and servers against errors in receiving

Callers saw: an exception in a callback of the parser was answered 400, which no caller sends again, and told nobody; one after the parser left data_received, and asyncio closed the connection together with the answers of requests in progress. A server's unasked 101 counted as a reset, and so as a possible crash of the server.

Cause: only HttpParserError was caught, which a failing callback raises as well.

Evidence: 3 tests of callers failed before ("['200 /1', '400'] != ['200 /1', '503']"), 4 of servers ('internal error' not in ..., reset 'True != False').

Change: data_received is the one guard of each kind of connection, with a line that names the connection and the cause. What was received in part is rejected with 503, since it hasn't run; a server's response counts as lost.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -15,6 +15,7 @@
 from sys import maxsize
 from typing import cast
 
+from httptools import HttpParserCallbackError
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
@@ -304,9 +305,24 @@
             self.outgoing.resume()
 
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser; malformed input gets status 400."""
+        """Takes input; an error in that leaves the requests before it alone.
+
+        Without the guard, the event loop would close the connection at once.
+        """
         if self.input_ended or self.server.ended:
             return
+        try:
+            self.receive(data)
+        except Exception:
+            LOG.exception(
+                'input failed by an internal error',
+                extra={'connection': str(self)},
+            )
+            # What was being received has not run, as it isn't complete.
+            self.reject(503)
+
+    def receive(self, data: bytes) -> None:
+        """Feeds the parser; malformed input gets status 400."""
         if not self.receiving:
             self.receiving = True
             self.phase_started_at = self.server.clock()
@@ -315,6 +331,8 @@
             self.parser.feed_data(data)
         except HttpParserUpgrade as upgrade:
             self.parse_on(data, upgrade)
+        except HttpParserCallbackError:
+            raise
         except HttpParserError:
             self.reject(400)
         if self.receiving and not self.input_ended:
@@ -345,6 +363,8 @@
                 self.parser.feed_data(rest)
             except HttpParserUpgrade as next_upgrade:
                 upgrade = next_upgrade
+            except HttpParserCallbackError:
+                raise
             except HttpParserError:
                 self.reject(400)
             else:
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -6,13 +6,16 @@
 from asyncio import Protocol
 from asyncio import timeout
 from asyncio import Transport
+from logging import getLogger
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
 from sys import maxsize
 from typing import cast
 
+from httptools import HttpParserCallbackError
 from httptools import HttpParserError
+from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
 from cowslipmill.http1.message import BodyBuffer
@@ -26,6 +29,8 @@
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.runtime.readsize import limit_read_size
 
+LOG = getLogger(__name__)
+
 # The kernel drops a connection whose data stays unacknowledged for this long,
 # which leaves time for a few retransmissions.
 USER_TIMEOUT_MS = 4_000
@@ -200,14 +205,33 @@
             self.outgoing.resume()
 
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser; closes the connection if no request is open."""
+        """Takes input; closes the connection if no request is open.
+
+        An error in that fails the open request, as what its server did with
+        it is unknown.
+        """
         if self.pending_response is None:
             self.close()
             return
+        try:
+            self.receive(data)
+        except Exception as error:
+            LOG.exception(
+                'input failed by an internal error',
+                extra={'connection': str(self)},
+            )
+            self.fail(f'internal error: {error}', reset=False)
+
+    def receive(self, data: bytes) -> None:
+        """Feeds the parser; fails the open request if it can't be read."""
         self.response_started = True
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
+        except HttpParserCallbackError:
+            raise
+        except HttpParserUpgrade:
+            self.fail('not an answer: change of protocol', reset=False)
         except HttpParserError as error:
             self.fail(f'not an answer: {error}', reset=False)
         self.enforce_limits()
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -4,7 +4,6 @@
 """
 
 from asyncio import AbstractServer
-from asyncio import CancelledError
 from asyncio import get_running_loop
 from asyncio import open_connection
 from asyncio import sleep
@@ -13,14 +12,12 @@
 from asyncio import timeout
 from collections.abc import AsyncIterator
 import re
-from typing import Any
 
 import pytest
 import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
-from testtools.matchers import Not
 
 from cowslipmill.http1.callerconnection import CallerConnection
 from cowslipmill.http1.callerconnection import CallerLimits
@@ -215,3 +212,33 @@
 ) -> None:
     await caller.send(make_request(b'1'), odd)
     assert_that(await caller.receive_all(), Equals(['200 /1', status]))
+
+
+@pytest.mark.parametrize(
+    'step', ['count_head_bytes', 'hold_request', 'take_request']
+)
+async def test_an_error_while_receiving_leaves_earlier_requests_alone(
+    caller: Caller,
+    step: str,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """What was received in part is told as not run, and logged."""
+    await caller.send(make_request(b'1'))
+
+    def fail(*arguments: object) -> None:
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(CallerConnection, step, fail)
+    await caller.send(make_request(b'2'))
+    assert_that(await caller.receive_all(), Equals(['200 /1', '503']))
+    assert_that(len(caller.handled), Equals(1))
+    lines = [
+        record
+        for record in caplog.records
+        if record.message == 'input failed by an internal error'
+    ]
+    assert_that(len(lines), Equals(1))
+    assert_that(
+        vars(lines[0])['connection'], Contains('request from 127.0.0.1:')
+    )
--- a/cowslipmill/http1/tests/test_serverconnection.py
+++ b/cowslipmill/http1/tests/test_serverconnection.py
@@ -12,6 +12,7 @@
 
 import pytest
 from testtools.assertions import assert_that
+from testtools.matchers import Contains
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
@@ -285,3 +286,36 @@
     await connection.exchange(without_id(make_request(1)))
     server.close()
     assert_that(connection.usable, Equals(False))
+
+
+@pytest.mark.parametrize('upgrade', [b'', b'upgrade: h2c\r\n'])
+async def test_a_change_of_protocol_is_no_response(upgrade: bytes) -> None:
+    """Nobody asked for it, so it comes from no sound server."""
+    raw = b'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\n%b\r\n' % upgrade
+    connection, server = await connect_to_writer(raw)
+    with pytest.raises(ExchangeFailed) as failure:
+        until = get_running_loop().time() + 0.3
+        await connection.exchange(make_request(1), until=until)
+    server.close()
+    assert_that(failure.value.reset, Equals(False))
+
+
+@pytest.mark.parametrize(
+    'step', ['on_header', 'on_headers_complete', 'finish_response']
+)
+async def test_an_error_while_receiving_fails_the_request(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It isn't told as a reset, which would count as a crash of the server."""
+    raw = RESPONSE % (200, ID_LINE, b'one')
+
+    def fail(*arguments: object, **options: object) -> None:
+        raise RuntimeError('unexpected')
+
+    monkeypatch.setattr(ServerConnection, step, fail)
+    connection, server = await connect_to_writer(raw)
+    with pytest.raises(ExchangeFailed) as failure:
+        await connection.exchange(make_request(1))
+    server.close()
+    assert_that(failure.value.reset, Equals(False))
+    assert_that(str(failure.value), Contains('internal error'))
