Answer the requests that wait on a connection when the host stops

Callers saw: of requests sent one after the other on a connection, all but the first ended without an answer when the host began to stop, and those that waited at its very end as well.

Cause: the first response of a stopping host closed the connection, although further requests had been read whole.

Evidence: before, "['200 /1'] != ['200 /1', '200 /2', '200 /3']" and, at the end, a TimeoutError.

Change: only the response to the last request that was read says that the connection closes; from then on nothing is taken from it. Requests that wait when the host has ended are told as not run.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -53,6 +53,9 @@
 # Retry-After of a request for which there is no memory; other hosts may have
 # some at once.
 MEMORY_RETRY_AFTER_S = 0.5
+# Retry-After of a request that waits when this host ends; other hosts can
+# take it at once.
+ENDED_RETRY_AFTER_S = 0.01
 
 
 class CallerLimits:
@@ -93,7 +96,8 @@
         limits: The limits in force for all connections.
         clock: Returns monotonic seconds.
         memory: The budget of all connections of callers.
-        closing: Whether each connection is closed after its next response.
+        closing: Whether each connection is closed once the requests that
+            were received on it are answered.
         ended: Whether no further request is handled.
         connections: The open connections.
     """
@@ -516,21 +520,17 @@
         """Handles the pending requests one after the other."""
         self.holding.forbid_eviction()
         try:
-            while self.pending and not (
-                self.disconnected or self.server.ended
-            ):
+            while self.pending and not self.disconnected:
                 request = self.pending.popleft()
-                response = await self.server.handler(request, self)
+                response = await self.handle(request)
                 self.on_disconnect = None
                 if response is None:
                     self.close()
                     return
-                is_last = (
-                    self.input_ended
-                    and not self.pending
-                    and self.rejection is None
-                )
-                close = is_last or self.server.closing
+                close = self.closes_next
+                if close:
+                    self.input_ended = True
+                    self.receiving = False
                 omit_body = request.method == b'HEAD'
                 head = encode_response_head(response, close=close)
                 body = b'' if omit_body else response.body
@@ -553,6 +553,21 @@
             if not self.disconnected:
                 self.holding.allow_eviction(self.yield_memory)
 
+    async def handle(self, request: Request) -> Response | None:
+        """Returns the response to a request; None to close without one."""
+        if self.server.ended:
+            retry_after = b'%.3f' % ENDED_RETRY_AFTER_S
+            return Response(503, [(b'retry-after', retry_after)], b'')
+        return await self.server.handler(request, self)
+
+    @property
+    def closes_next(self) -> bool:
+        """Whether the connection closes after the response that is due."""
+        if self.pending or self.rejection is not None:
+            return False
+        server = self.server
+        return self.input_ended or server.closing or server.ended
+
     async def drain(self, response: Response) -> None:
         """Waits until the caller has taken a response.
 
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -242,3 +242,43 @@
     assert_that(
         vars(lines[0])['connection'], Contains('request from 127.0.0.1:')
     )
+
+
+async def test_requests_that_wait_are_answered_when_the_host_stops(
+    caller: Caller,
+) -> None:
+    """The last answer says that the connection closes, and no other one."""
+    names = (b'1', b'2', b'3')
+    await caller.send(b''.join(make_request(name) for name in names))
+    caller.server.closing = True
+    async with timeout(WAIT_S):
+        data = await caller.reader.read()
+    answers = parse_answers(data)
+    assert_that(answers, Equals(['200 /1', '200 /2', '200 /3']))
+    assert_that(data.count(b'connection: close'), Equals(1))
+    assert_that(data.rpartition(b'HTTP/1.1')[2], Contains(b'close'))
+
+
+async def test_what_comes_after_the_announced_close_is_not_begun(
+    caller: Caller,
+) -> None:
+    """Its caller knows that it may send it elsewhere."""
+    caller.server.closing = True
+    await caller.send(make_request(b'1') + make_request(b'2')[:20])
+    await sleep(WORK_S)
+    await caller.send(make_request(b'2')[20:])
+    assert_that(await caller.receive_all(), Equals(['200 /1']))
+    assert_that(len(caller.handled), Equals(1))
+
+
+async def test_requests_that_wait_at_the_end_are_told_as_not_run(
+    caller: Caller,
+) -> None:
+    """The process ends now, and would cut them off after they were sent."""
+    await caller.send(make_request(b'1') + make_request(b'2'))
+    caller.server.end()
+    async with timeout(WAIT_S):
+        data = await caller.reader.read()
+    assert_that(parse_answers(data), Equals(['200 /1', '503']))
+    assert_that(data, Contains(b'retry-after: '))
+    assert_that(len(caller.handled), Equals(1))
