--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -242,3 +242,74 @@
     assert_that(
         vars(lines[0])['connection'], Contains('request from 127.0.0.1:')
     )
+
+
+async def test_requests_that_wait_are_answered_when_the_host_stops(
+    caller: Caller,
+) -> None:
+    """The last answer says that the connection closes, and no other one."""
+    names = (b'1', b'2', b'3')
+    await caller.send(b''.join(make_request(name) for name in names))
+    caller.server.closing = True
+    async with timeout(WAIT_S):
+        data = await caller.reader.read()
+    answers = parse_answers(data)
+    assert_that(answers, Equals(['200 /1', '200 /2', '200 /3']))
+    assert_that(data.count(b'connection: close'), Equals(1))
+    assert_that(data.rpartition(b'HTTP/1.1')[2], Contains(b'close'))
+
+
+async def test_what_comes_after_the_announced_close_is_not_begun(
+    caller: Caller,
+) -> None:
+    """Its caller knows that it may send it elsewhere."""
+    caller.server.closing = True
+    await caller.send(make_request(b'1') + make_request(b'2')[:20])
+    await sleep(WORK_S)
+    await caller.send(make_request(b'2')[20:])
+    assert_that(await caller.receive_all(), Equals(['200 /1']))
+    assert_that(len(caller.handled), Equals(1))
+
+
+async def test_requests_that_wait_at_the_end_are_told_as_not_run(
+    caller: Caller,
+) -> None:
+    """The process ends now, and would cut them off after they were sent."""
+    await caller.send(make_request(b'1') + make_request(b'2'))
+    caller.server.end()
+    async with timeout(WAIT_S):
+        data = await caller.reader.read()
+    assert_that(parse_answers(data), Equals(['200 /1', '503']))
+    assert_that(data, Contains(b'retry-after: '))
+    assert_that(len(caller.handled), Equals(1))
+
+
+EXPECT = b'expect: 100-continue\r\ncontent-length: 3\r\n'
+
+
+async def test_100_continue_comes_after_the_answers_before_it(
+    caller: Caller,
+) -> None:
+    """Else a caller takes it as one to its first request."""
+    await caller.send(make_request(b'1'), make_request(b'2', EXPECT))
+    assert_that(await caller.receive(2), Equals(['200 /1', '100']))
+    await caller.send(b'abc')
+    assert_that(await caller.receive(1), Equals(['200 /2 abc']))
+
+
+async def test_100_continue_is_left_out_if_the_body_comes_anyway(
+    caller: Caller,
+) -> None:
+    head = make_request(b'2', EXPECT)
+    await caller.send(make_request(b'1'), head, b'a', b'bc')
+    assert_that(await caller.receive(2), Equals(['200 /1', '200 /2 abc']))
+
+
+async def test_100_continue_is_not_sent_for_a_rejected_request(
+    caller: Caller,
+) -> None:
+    """It is rejected while the one before it is in progress."""
+    await caller.send(make_request(b'1'), make_request(b'2', EXPECT))
+    (connection,) = caller.server.connections
+    connection.reject(503)
+    assert_that(await caller.receive_all(), Equals(['200 /1', '503']))
