Answer callers that have closed only their sending side

Cause: the end of input was taken for the end of the connection.

Change: a connection on which a response is due stays open for writing. A caller that closes the connection looks the same, so that a request that may be repeated or hasn't run is still cancelled at once (a test beside it).

--- a/cowslipmill/host/tests/test_lostanswers.py
+++ b/cowslipmill/host/tests/test_lostanswers.py
@@ -53,6 +53,23 @@
     assert_that(answer[:12], Equals(b'HTTP/1.1 200'))
 
 
+async def test_a_read_of_a_caller_that_has_ended_its_sending_is_cancelled(
+    fleet: Fleet,
+) -> None:
+    """It may have closed the connection, and the server would work on."""
+    set_work_time(fleet)
+    address = fleet.hosts[0].settings.callers_listen
+    reader, writer = await open_connection(*address)
+    request = encode_request('half').replace(b'POST /book', b'GET /read')
+    writer.write(request)
+    await sleep(WORK_S / 4)
+    writer.write_eof()
+    async with timeout(SLACK_S):
+        assert_that(await reader.read(), Equals(b''))
+    writer.close()
+    assert_that(fleet.hosts[0].callers.connections, Equals(set()))
+
+
 @pytest.mark.parametrize('requests', [2, 3])
 async def test_requests_that_wait_behind_one_are_answered_by_a_stop(
     fleet: Fleet, requests: int
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -222,6 +222,7 @@
         awaits_continue: Whether its caller waits for 100 Continue.
         input_ended: Whether further input is ignored, since a request asked
             for the connection to be closed or was rejected.
+        input_closed: Whether the caller has closed its sending side.
         rejection: The error response to a rejected request, until it is sent
             after the responses to the requests before it.
         holding: The memory of the connection and of the request that is being
@@ -251,6 +252,7 @@
         self.phase_started_at = server.clock()
         self.receiving = False
         self.input_ended = False
+        self.input_closed = False
         self.rejection: Response | None = None
         self.clear_request()
 
@@ -320,6 +322,23 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
 
+    def eof_received(self) -> bool:
+        """Keeps the connection if a response is due on it.
+
+        The caller may have closed the connection, or only its sending side:
+        both look the same. As for one that has left, what may be repeated or
+        hasn't run is cancelled, which closes the connection.
+        """
+        if not self.owes_answer:
+            return False
+        self.input_closed = True
+        self.input_ended = True
+        self.receiving = False
+        self.pending.clear()
+        if self.on_disconnect is not None:
+            self.on_disconnect()
+        return True
+
     def __str__(self) -> str:
         """Returns what the connection is for, as written into logs."""
         peer = None
@@ -586,8 +605,13 @@
                     return
             if self.rejection is not None and not self.disconnected:
                 self.send_rejection(self.rejection)
+            elif self.input_closed:
+                self.close()
             self.send_continue()
             self.resume_reading()
+        except CancelledError:
+            self.close()
+            raise
         except Exception:
             # Part of a response may have been sent.
             LOG.exception(
