Send 100 Continue in its turn

Callers saw: 100 Continue for a request ahead of the final response to the one before it on the connection.

Evidence: before, "['100', '200 /1'] != ['200 /1', '100']".

Change: it is sent once the requests before it are answered, and not at all if the body comes in the meantime or the request is rejected.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -190,6 +190,7 @@
         pacer: Slows down a body of many small chunks.
         declared_bytes: Size of the body that the request's head announces.
         upgrading: Whether its head asks for another protocol.
+        awaits_continue: Whether its caller waits for 100 Continue.
         input_ended: Whether further input is ignored, since a request asked
             for the connection to be closed or was rejected.
         rejection: The error response to a rejected request, until it is sent
@@ -231,6 +232,7 @@
         self.unfinished_bytes = 0
         self.declared_bytes = 0
         self.upgrading = False
+        self.awaits_continue = False
         self.pacer = ChunkPacer()
 
     @property
@@ -455,10 +457,9 @@
                 self.reject(501)
             return
         self.unfinished_bytes = 0
-        expects_continue = False
         for name, value in self.headers:
             if name == b'expect' and value.lower() == b'100-continue':
-                expects_continue = True
+                self.awaits_continue = True
             elif name == b'content-length' and value.isdigit():
                 # The parser has checked the value.
                 self.declared_bytes = int(value)
@@ -466,8 +467,14 @@
             self.reject(413)
         else:
             self.hold_request()
-        if expects_continue and not self.input_ended:
+        if self.awaits_continue and self.task is None:
+            self.send_continue()
+
+    def send_continue(self) -> None:
+        """Sends 100 Continue to a caller that waits for it."""
+        if self.awaits_continue and not self.body.data:
             self.write(CONTINUE_RESPONSE, b'', None)
+        self.awaits_continue = False
 
     def on_chunk_header(self) -> None:
         """Counts a chunk of the body."""
@@ -542,6 +549,7 @@
                     return
             if self.rejection is not None and not self.disconnected:
                 self.send_rejection(self.rejection)
+            self.send_continue()
             self.resume_reading()
         except Exception:
             # The request may have run, so no status would be right; closing
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -282,3 +282,34 @@
     assert_that(parse_answers(data), Equals(['200 /1', '503']))
     assert_that(data, Contains(b'retry-after: '))
     assert_that(len(caller.handled), Equals(1))
+
+
+EXPECT = b'expect: 100-continue\r\ncontent-length: 3\r\n'
+
+
+async def test_100_continue_comes_after_the_answers_before_it(
+    caller: Caller,
+) -> None:
+    """Else a caller takes it as one to its first request."""
+    await caller.send(make_request(b'1'), make_request(b'2', EXPECT))
+    assert_that(await caller.receive(2), Equals(['200 /1', '100']))
+    await caller.send(b'abc')
+    assert_that(await caller.receive(1), Equals(['200 /2 abc']))
+
+
+async def test_100_continue_is_left_out_if_the_body_comes_anyway(
+    caller: Caller,
+) -> None:
+    head = make_request(b'2', EXPECT)
+    await caller.send(make_request(b'1'), head, b'a', b'bc')
+    assert_that(await caller.receive(2), Equals(['200 /1', '200 /2 abc']))
+
+
+async def test_100_continue_is_not_sent_for_a_rejected_request(
+    caller: Caller,
+) -> None:
+    """It is rejected while the one before it is in progress."""
+    await caller.send(make_request(b'1'), make_request(b'2', EXPECT))
+    (connection,) = caller.server.connections
+    connection.reject(503)
+    assert_that(await caller.receive_all(), Equals(['200 /1', '503']))
