Answer a request whose handling fails inside a host

Callers saw: the connection closed without an answer after an unexpected exception, and no answer at all after something that the request waited for was cancelled: serve() closed, or ended with the connection open.

Change: the request gets 502 with its id, which promises nothing, and a line that names it; the connection goes on. A cancellation counts alike unless the caller left or the task itself was cancelled; the forwarder tells such a request as not run if no server got it. Only an error while a response is being written closes the connection, with its own line.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from asyncio import CancelledError
 from asyncio import create_task
+from asyncio import current_task
 from asyncio import Event
 from asyncio import FIRST_COMPLETED
 from asyncio import sleep
@@ -262,8 +263,14 @@
                 context, reason, FAILED_RETRY_AFTER_S, status=504
             )
         except CancelledError:
-            self.request_log.cancelled(context, self.clock())
-            raise
+            task = current_task()
+            if context.caller_left or (task and task.cancelling()):
+                self.request_log.cancelled(context, self.clock())
+                raise
+            # Something that the request waited for was cancelled.
+            return self.give_up(
+                context, 'cancelled within', FAILED_RETRY_AFTER_S
+            )
         finally:
             self.timers.discard(timer)
 
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -249,6 +249,7 @@
             INITIAL_LIMITS,
             clock,
             self.memory.callers,
+            request_id_header=header_codec.request_id_header,
         )
         self.listeners: list[Server] = []
         self.internal_servers: list[CallerServer] = []
--- a/cowslipmill/host/tests/test_internalerrors.py
+++ b/cowslipmill/host/tests/test_internalerrors.py
@@ -4,24 +4,35 @@
 message reaches.
 """
 
+from asyncio import CancelledError
 from asyncio import sleep
 from typing import Any
 
 from cbor2 import dumps
 import pytest
 from testtools.assertions import assert_that
+from testtools.matchers import Contains
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.memberlist import MemberList
+from cowslipmill.forwarding.attempts import Attempts
+from cowslipmill.forwarding.directsender import DirectSender
+from cowslipmill.forwarding.forwarder import Forwarder
+from cowslipmill.forwarding.sender import Sender
 from cowslipmill.host.host import Host
+from cowslipmill.host.requestlog import RequestLog
 from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import make_server_entry
 from cowslipmill.host.tests.conftest import make_test_configuration
 from cowslipmill.http1.pool import ConnectionPool
+from cowslipmill.leasing.coordinator import Coordinator
+from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.peers.link import Link
+from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.runtime.backgrounderrors import BACKGROUND_ERRORS
+from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.view.reader import StoreReader
 from cowslipmill.view.view import View
 
@@ -119,3 +130,55 @@
     host.gossip.request_snapshot(peer.address)
     await sleep(0.5)
     host.rpc.abort()
+
+
+STEPS_BEFORE_SENDING: list[tuple[type, str]] = [
+    (PlatformHeaderCodec, 'parse_caller_headers'),
+    (Forwarder, 'create_context'),
+    (LeaseManager, 'acquire'),
+    (Coordinator, 'acquire'),
+    (Forwarder, 'may_send'),
+    (RequestLog, 'placed'),
+    (DirectSender, 'connect'),
+]
+STEPS_AFTER_SENDING: list[tuple[type, str]] = [
+    (PlatformHeaderCodec, 'server_request'),
+    (DirectSender, 'exchange'),
+    (DirectSender, 'classify'),
+    (Sender, 'release'),
+    (Attempts, 'after_response'),
+    (RequestLog, 'answered'),
+    (PlatformHeaderCodec, 'caller_response'),
+]
+
+
+@pytest.mark.parametrize('target', ['/read/1', '/book/1'])
+@pytest.mark.parametrize('error', [RuntimeError, CancelledError])
+@pytest.mark.parametrize(
+    ('owner', 'method'), STEPS_BEFORE_SENDING + STEPS_AFTER_SENDING
+)
+async def test_an_error_at_any_step_of_a_request_is_answered(
+    fleet: Fleet,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    method: str,
+    error: type[BaseException],
+    target: str,
+) -> None:
+    """It is told as not run only if no server got it."""
+
+    def fail(*arguments: Any, **options: Any) -> None:
+        raise error('unexpected')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, method, fail)
+        response = await fleet.send_request(target)
+    request_id = b'q%d' % fleet.last_request_number
+    assert_that(response.header(b'x-request-id'), Equals(request_id))
+    statuses = {502}
+    if (owner, method) in STEPS_BEFORE_SENDING and error is CancelledError:
+        assert_that(fleet.execution_count(), Equals(0))
+        statuses.add(503)
+    assert_that(statuses, Contains(response.status))
+    response = await fleet.send_request(target)
+    assert_that(response.status, Equals(200))
--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -1,7 +1,9 @@
 """The server side of HTTP/1.1: connections that callers open to a host."""
 
 from asyncio import BaseTransport
+from asyncio import CancelledError
 from asyncio import create_task
+from asyncio import current_task
 from asyncio import get_running_loop
 from asyncio import Protocol
 from asyncio import Task
@@ -96,6 +98,8 @@
         limits: The limits in force for all connections.
         clock: Returns monotonic seconds.
         memory: The budget of all connections of callers.
+        request_id_header: Header that this host's own responses echo from
+            their request; empty for none.
         closing: Whether each connection is closed once the requests that
             were received on it are answered.
         ended: Whether no further request is handled.
@@ -110,6 +114,7 @@
         'handler',
         'limits',
         'memory',
+        'request_id_header',
     )
 
     def __init__(
@@ -118,6 +123,8 @@
         limits: CallerLimits,
         clock: Callable[[], float],
         memory: MemoryBudget | None = None,
+        *,
+        request_id_header: bytes = b'',
     ) -> None:
         """Starts without connections.
 
@@ -127,7 +134,10 @@
             clock: Returns monotonic seconds.
             memory: The budget of all connections of callers; None for no
                 limit.
+            request_id_header: Header that this host's own responses echo
+                from their request; empty for none.
         """
+        self.request_id_header = request_id_header
         self.memory = memory or MemoryBudget('unlimited', maxsize)
         self.handler = handler
         self.limits = limits
@@ -149,6 +159,15 @@
         for connection in list(self.connections):
             connection.enforce_timeouts(now)
 
+    def error_response(
+        self, request: Request, status: int, headers: Headers
+    ) -> Response:
+        """Returns an error of this host with the id of its request."""
+        request_id = request.header(self.request_id_header)
+        if request_id:
+            headers = [*headers, (self.request_id_header, request_id)]
+        return Response(status, headers, b'')
+
     def close_idle(self) -> None:
         """Closes the connections that have no request."""
         for connection in list(self.connections):
@@ -538,8 +557,8 @@
                 if close:
                     self.input_ended = True
                     self.receiving = False
+                response, head = self.encode(request, response, close=close)
                 omit_body = request.method == b'HEAD'
-                head = encode_response_head(response, close=close)
                 body = b'' if omit_body else response.body
                 self.write(head, body, response)
                 await self.drain(response)
@@ -552,9 +571,11 @@
             self.send_continue()
             self.resume_reading()
         except Exception:
-            # The request may have run, so no status would be right; closing
-            # the connection leaves its outcome open.
-            LOG.exception('request failed by an internal error')
+            # Part of a response may have been sent.
+            LOG.exception(
+                'response failed by an internal error',
+                extra={'connection': str(self)},
+            )
             self.close()
         finally:
             self.task = None
@@ -562,11 +583,53 @@
                 self.holding.allow_eviction(self.yield_memory)
 
     async def handle(self, request: Request) -> Response | None:
-        """Returns the response to a request; None to close without one."""
+        """Returns the response to a request; None to close without one.
+
+        A request whose handler fails, or is cancelled though neither the
+        caller left nor the process ends, may have run.
+        """
         if self.server.ended:
             retry_after = b'%.3f' % ENDED_RETRY_AFTER_S
-            return Response(503, [(b'retry-after', retry_after)], b'')
-        return await self.server.handler(request, self)
+            return self.server.error_response(
+                request, 503, [(b'retry-after', retry_after)]
+            )
+        try:
+            return await self.server.handler(request, self)
+        except CancelledError:
+            task = current_task()
+            if self.disconnected or (task is not None and task.cancelling()):
+                raise
+            return self.fail(request)
+        except Exception:
+            return self.fail(request)
+
+    def fail(self, request: Request) -> Response:
+        """Logs an error and returns status 502, which promises nothing."""
+        request_id = request.header(self.server.request_id_header)
+        LOG.exception(
+            'request failed by an internal error',
+            extra={
+                'request': request_id.decode('latin-1'),
+                'connection': str(self),
+            },
+        )
+        return self.server.error_response(request, 502, [])
+
+    def encode(
+        self, request: Request, response: Response, *, close: bool
+    ) -> tuple[Response, bytes]:
+        """Returns the response to send, and its head.
+
+        Args:
+            request: The request.
+            response: The handler's response.
+            close: Whether the connection closes after it.
+        """
+        try:
+            return response, encode_response_head(response, close=close)
+        except Exception:
+            response = self.fail(request)
+            return response, encode_response_head(response, close=close)
 
     @property
     def closes_next(self) -> bool:
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -4,6 +4,7 @@
 """
 
 from asyncio import AbstractServer
+from asyncio import CancelledError
 from asyncio import get_running_loop
 from asyncio import open_connection
 from asyncio import sleep
@@ -12,12 +13,14 @@
 from asyncio import timeout
 from collections.abc import AsyncIterator
 import re
+from typing import Any
 
 import pytest
 import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import StartsWith
 
 from cowslipmill.http1.callerconnection import CallerConnection
 from cowslipmill.http1.callerconnection import CallerLimits
@@ -313,3 +316,54 @@
     (connection,) = caller.server.connections
     connection.reject(503)
     assert_that(await caller.receive_all(), Equals(['200 /1', '503']))
+
+
+@pytest.mark.parametrize(
+    'error', [RuntimeError('unexpected'), CancelledError()]
+)
+async def test_a_request_whose_handler_fails_is_answered_as_unknown(
+    caller: Caller, error: BaseException, caplog: pytest.LogCaptureFixture
+) -> None:
+    """It may have run; the requests behind it are handled as ever."""
+    caller.server.request_id_header = b'x-id'
+    caller.error = error
+    await caller.send(make_request(b'1', b'x-id: r1\r\n'))
+    async with timeout(WAIT_S):
+        head = await caller.reader.readuntil(b'\r\n\r\n')
+    assert_that(head, StartsWith(b'HTTP/1.1 502 '))
+    assert_that(head, Contains(b'x-id: r1\r\n'))
+    (line,) = [
+        record
+        for record in caplog.records
+        if record.message == 'request failed by an internal error'
+    ]
+    assert_that(vars(line)['request'], Equals('r1'))
+    caller.error = None
+    await caller.send(make_request(b'2'))
+    assert_that(await caller.receive(1), Equals(['200 /2']))
+
+
+async def test_a_response_that_cannot_be_encoded_is_replaced(
+    caller: Caller, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bad: Any = [('text', 'no bytes')]
+
+    async def respond(*arguments: object) -> Response:
+        return Response(200, bad, b'')
+
+    monkeypatch.setattr(caller.server, 'handler', respond)
+    await caller.send(make_request(b'1'))
+    assert_that(await caller.receive(1), Equals(['502']))
+
+
+async def test_the_end_of_the_process_cancels_requests(
+    caller: Caller,
+) -> None:
+    """Whoever cancels the task itself wants it to end."""
+    await caller.send(make_request(b'1'))
+    (connection,) = caller.server.connections
+    task = connection.task
+    assert task is not None
+    task.cancel()
+    await sleep(PAUSE_S)
+    assert_that(task.cancelled(), Equals(True))
