--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -7,6 +7,7 @@
 from asyncio import get_running_loop
 from asyncio import Protocol
 from asyncio import Task
+from asyncio import TimerHandle
 from asyncio import Transport
 from collections import deque
 from collections.abc import Awaitable
@@ -47,8 +48,9 @@
 REQUEST_BYTES = 8_192
 # What a head takes on the wire beyond what its limit counts.
 HEAD_MARGIN_BYTES = 1_024
-# Longest time for which the rest of a rejected request is read. Closing
-# at once would reset the connection, and the caller would lose the response.
+# Longest time for which input is discarded after the last response. Closing
+# with input unread would reset the connection, and the caller would lose what
+# it hasn't received of the response.
 LINGER_S = 10.0
 # Time for which a caller may take nothing of its response before that makes
 # room for others.
@@ -225,6 +227,8 @@
         input_closed: Whether the caller has closed its sending side.
         rejection: The error response to a rejected request, until it is sent
             after the responses to the requests before it.
+        linger_timer: Closes the connection some time after its last response;
+            None before.
         holding: The memory of the connection and of the request that is being
             received; a complete request has its own.
         untaken_bytes: Bytes of responses that the caller had not taken at
@@ -254,6 +258,7 @@
         self.input_ended = False
         self.input_closed = False
         self.rejection: Response | None = None
+        self.linger_timer: TimerHandle | None = None
         self.clear_request()
 
     def clear_request(self) -> None:
@@ -314,6 +319,8 @@
         """Drops pending requests and calls `on_disconnect`."""
         self.disconnected = True
         self.server.connections.discard(self)
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
         self.holding.release()
         self.clear_request()
         self.pending.clear()
@@ -329,7 +336,7 @@
         both look the same. As for one that has left, what may be repeated or
         hasn't run is cancelled, which closes the connection.
         """
-        if not self.owes_answer:
+        if not self.owes_answer or self.linger_timer is not None:
             return False
         self.input_closed = True
         self.input_ended = True
@@ -601,7 +608,7 @@
                 await self.drain(response)
                 self.phase_started_at = self.server.clock()
                 if close:
-                    self.close()
+                    self.linger()
                     return
             if self.rejection is not None and not self.disconnected:
                 self.send_rejection(self.rejection)
@@ -722,9 +729,25 @@
     def send_rejection(self, response: Response) -> None:
         """Sends an error response as the last one and closes later."""
         self.write(encode_response_head(response, close=True), b'', None)
-        if self.transport is not None and self.transport.can_write_eof():
+        self.linger()
+
+    def linger(self) -> None:
+        """Closes once the caller does, or after some time.
+
+        Until then its input is discarded, as it may still be receiving the
+        last response.
+        """
+        if self.transport is None or self.disconnected:
+            return
+        if self.input_closed:
+            self.close()
+            return
+        self.input_ended = True
+        self.transport.resume_reading()
+        if self.transport.can_write_eof():
             self.transport.write_eof()
-        get_running_loop().call_later(LINGER_S, self.close)
+        loop = get_running_loop()
+        self.linger_timer = loop.call_later(LINGER_S, self.close)
 
     def enforce_timeouts(self, now: float) -> None:
         """Closes the connection if its head or idle timeout has passed.
