--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -71,8 +71,9 @@
 READINESS_NOTICE_S = 2.5
 # Fractions of `stop_s` after which a stopping host answers the requests that
 # are still open, takes no more, and waits no more for callers to take their
-# answers. A server may be at work until five sixths. The rest is for the exit of the process,
-# which takes 0.08 s of CPU time on hosts that have less than half a CPU.
+# answers. A server may be at work until five sixths. The rest is for the exit
+# of the process, which takes 0.08 s of CPU time on hosts that have less than
+# half a CPU.
 ANSWER_FRACTION = 0.85
 INPUT_END_FRACTION = 0.875
 END_FRACTION = 0.95
--- a/cowslipmill/host/tests/test_stopsignal.py
+++ b/cowslipmill/host/tests/test_stopsignal.py
@@ -33,7 +33,7 @@
 async def test_a_late_event_loop_makes_no_signal_late(
     kept_handlers: None, number: int
 ) -> None:
-    """A host that counted from its event loop's turn was killed in its stop."""
+    """A host that counted from its loop's turn was killed in its stop."""
     loop = get_running_loop()
     stop_signal = StopSignal(loop)
     kill(getpid(), number)
