Take an answer that switches protocols for no crash

What callers saw: a server that answered a request with 101 and `Upgrade` was taken for one that the request had crashed. Requests with the same path were refused for seconds after it (503 in five of eight sends in the play, and in the first six after the server was well again), and the server was set aside like one that had started anew. `Fatal error: protocol.data_received() call failed` stood in the log.

Cause: `HttpParserUpgrade` isn't an `HttpParserError`. It left `data_received`, the event loop closed the connection for it, and a connection that ends counts as reset by the server.

Evidence: of the eight tests of answers that can't be read and are no crash, the three with a switch failed on; bytes that are no answer, and heads without a status or a colon, passed.

Such an answer now fails as any other that can't be read. Callers were told nothing wrong of it before or after: 502 at the first send, a retry, a hedge and by way of another host.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -13,6 +13,7 @@
 from typing import cast
 
 from httptools import HttpParserError
+from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
 from cowslipmill.http1.message import BodyBuffer
@@ -210,6 +211,8 @@
             self.parser.feed_data(data)
         except HttpParserError as error:
             self.fail(f'not an answer: {error}', reset=False)
+        except HttpParserUpgrade:
+            self.fail('not an answer: switches protocols', reset=False)
         self.enforce_limits()
 
     def enforce_limits(self) -> None:
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -137,6 +137,26 @@
     resets: bool
 
 
+class Ending(Enum):
+    """What happens to a connection after the bytes of a `RawAnswer`."""
+
+    CLOSES = 'closes'
+    RESETS = 'resets'
+    STAYS = 'stays'
+
+
+class RawAnswer(NamedTuple):
+    """Bytes that a server sends in place of its answer.
+
+    Attributes:
+        content: The bytes, in which `<id>` stands for the request's id.
+        ending: What happens to the connection afterwards.
+    """
+
+    content: bytes
+    ending: Ending
+
+
 class DownAddress(Enum):
     """What happens to connections to the address of a crashed server."""
 
@@ -182,6 +202,9 @@
         repeat: When it sends its last refusal on a connection once more, as it
             works on another request there; None for never.
         cut_head: How its answers end in their head; None if they don't.
+        raw_answer: What it sends after its work in place of an answer; None
+            if it answers.
+        raw_health: The same for questions for its health.
         arrivals: All requests, also those for its health.
         turned_away: Answers with `pause`: the sender's IP address, when, and
             the pause.
@@ -222,6 +245,8 @@
         self.repeat: Repeat | None = None
         self.repeats_sent = 0
         self.cut_head: CutHead | None = None
+        self.raw_answer: RawAnswer | None = None
+        self.raw_health: RawAnswer | None = None
         self.arrivals: list[Arrival] = []
         self.turned_away: list[tuple[str, float, str]] = []
         self.told_leaving: dict[str, float] = {}
@@ -313,6 +338,8 @@
             self.health_asked += 1
             if self.stream is not None and self.streams_health:
                 return await self.send_stream(writer, self.stream)
+            if self.raw_health is not None:
+                return await self.send_raw(writer, self.raw_health, '')
             head = f'x-instance-id: {self.name}\r\n'
             if self.limits_health:
                 head += self.limit_header()
@@ -374,6 +401,8 @@
             return True
         if self.cut_head is not None:
             return await self.answer_in_part(writer, run, self.cut_head)
+        if self.raw_answer is not None:
+            return await self.send_raw(writer, self.raw_answer, run.request_id)
         if self.stream is not None:
             return await self.send_stream(writer, self.stream)
         return await self.answer(writer, run)
@@ -495,6 +524,18 @@
             reset(writer)
         return False
 
+    async def send_raw(
+        self, writer: StreamWriter, raw: RawAnswer, request_id: str
+    ) -> bool:
+        """Sends bytes in place of an answer; no other request follows."""
+        writer.write(raw.content.replace(b'<id>', request_id.encode()))
+        await writer.drain()
+        if raw.ending is Ending.STAYS:
+            await sleep(SILENCE_S)
+        if raw.ending is Ending.RESETS:
+            reset(writer)
+        return False
+
     async def send_stream(self, writer: StreamWriter, stream: Stream) -> bool:
         """Sends bytes until the other side closes."""
         start, repeated = stream.value
