--- a/cowslipmill/host/tests/test_repeatedrefusals.py
+++ b/cowslipmill/host/tests/test_repeatedrefusals.py
@@ -39,7 +39,9 @@
     return list(await gather(*tasks))
 
 
-async def play(fleet: Fleet, kind: str, host: int, repeat: Repeat) -> None:
+async def play(
+    fleet: Fleet, kind: str, host: int, repeat: Repeat, *, serves: bool = True
+) -> None:
     """Has servers serve, refuse, and repeat the refusals; checks callers.
 
     Args:
@@ -47,6 +49,7 @@
         kind: `book`, which may run once, or `read`, which is retried.
         host: The host that gets the requests.
         repeat: When refusals are repeated.
+        serves: Whether servers answer some requests meanwhile.
     """
     backends = list(fleet.backends.values())
     responses = await send(fleet, kind, 'served', host)
@@ -60,11 +63,19 @@
     await sleep(1.0)
     for number in range(4):
         responses += await send(fleet, kind, f'repeated-{number}', host)
-    check(fleet, responses)
+    check(fleet, responses, serves=serves)
+
 
+def check(
+    fleet: Fleet, responses: list[Response], *, serves: bool = True
+) -> None:
+    """Checks that no caller was told wrongly, and nothing ran twice.
 
-def check(fleet: Fleet, responses: list[Response]) -> None:
-    """Checks that no caller was told wrongly, and nothing ran twice."""
+    Args:
+        fleet: The hosts and servers.
+        responses: What callers got.
+        serves: Whether servers answered requests after the refusals.
+    """
     runs = Counter(
         run.request_id for b in fleet.backends.values() for run in b.runs
     )
@@ -86,7 +97,7 @@
             own = response.header(b'x-request-id').decode()
             assert_that(response.body.decode().split()[1], Equals(own))
     served = [r for r in responses if r.status == 200]
-    assert_that(len(served), GreaterThan(SENDS))
+    assert_that(len(served), GreaterThan(SENDS if serves else SENDS - 1))
 
 
 @pytest.mark.parametrize('has_id', [False, True])
@@ -173,3 +184,72 @@
     for number in range(3):
         responses += await send(fleet, 'book', f'later-{number}', 0)
     check(fleet, responses)
+
+
+@pytest.mark.parametrize('repeat', list(Repeat))
+@pytest.mark.parametrize('kind', ['book', 'read'])
+async def test_a_refusal_on_another_connection_is_no_answer(
+    fleet: Fleet, kind: str, repeat: Repeat
+) -> None:
+    """It names another request, which was refused elsewhere."""
+    for backend in fleet.backends.values():
+        backend.refusals_have_id = True
+        backend.repeats_elsewhere = True
+        backend.slots = 2 * SENDS
+    serves = repeat is not Repeat.IN_PLACE
+    await play(fleet, kind, 0, repeat, serves=serves)
+    sent = sum(b.repeats_sent for b in fleet.backends.values())
+    assert_that(sent, GreaterThan(0))
+
+
+@pytest.mark.parametrize('repeat', list(Repeat))
+async def test_a_refusal_on_another_connection_is_no_answer_to_a_hedge(
+    fleet: Fleet, repeat: Repeat
+) -> None:
+    """The first server is slow, so that a second one gets the request."""
+    for backend in fleet.backends.values():
+        backend.refusals_have_id = True
+        backend.repeats_elsewhere = True
+        backend.slots = 2 * SENDS
+    fleet.backends['one'].work_s = 0.5
+    serves = repeat is not Repeat.IN_PLACE
+    await play(fleet, 'read', 0, repeat, serves=serves)
+
+
+@pytest.mark.parametrize('repeat', list(Repeat))
+async def test_a_refusal_on_another_connection_is_no_relayed_answer(
+    large_fleet: Fleet, partition: Partition, repeat: Repeat
+) -> None:
+    """Over the connections of the host that relays."""
+    for backend in large_fleet.backends.values():
+        backend.refusals_have_id = True
+        backend.repeats_elsewhere = True
+        backend.slots = 2 * SENDS
+    cut = other_than_coordinator(large_fleet)
+    await isolate(large_fleet, partition, [cut])
+    serves = repeat is not Repeat.IN_PLACE
+    host = large_fleet.hosts.index(cut)
+    await play(large_fleet, 'book', host, repeat, serves=serves)
+
+
+@pytest.mark.parametrize('has_id', [False, True])
+@pytest.mark.parametrize('repeat', list(Repeat))
+async def test_a_repeated_pause_is_no_answer_after_its_end(
+    fleet: Fleet, repeat: Repeat, has_id: bool
+) -> None:
+    """The requests that it turned away wait and are sent again."""
+    backends = list(fleet.backends.values())
+    for backend in backends:
+        backend.refusals_have_id = has_id
+    responses = await send(fleet, 'book', 'served', 0)
+    for backend in backends:
+        backend.pause = '0.3'
+    waiting = create_task(send(fleet, 'book', 'waiting', 0))
+    await sleep(0.1)
+    for backend in backends:
+        backend.pause = ''
+        backend.repeat = repeat
+    responses += await waiting
+    for number in range(4):
+        responses += await send(fleet, 'book', f'later-{number}', 0)
+    check(fleet, responses)
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -201,6 +201,8 @@
         refusals_have_id: Whether its refusals name the request.
         repeat: When it sends its last refusal on a connection once more, as it
             works on another request there; None for never.
+        repeats_elsewhere: Whether that may be the last refusal on any of its
+            connections.
         cut_head: How its answers end in their head; None if they don't.
         raw_answer: What it sends after its work in place of an answer; None
             if it answers.
@@ -243,6 +245,8 @@
         self.keep_alive = ''
         self.refusals: dict[StreamWriter, bytes] = {}
         self.repeat: Repeat | None = None
+        self.repeats_elsewhere = False
+        self.last_refusal: bytes | None = None
         self.repeats_sent = 0
         self.cut_head: CutHead | None = None
         self.raw_answer: RawAnswer | None = None
@@ -332,7 +336,12 @@
             size = int(headers.get('content-length', '0'))
             await reader.readexactly(size)
             head = f'x-not-executed: 1\r\nretry-after: {self.pause}\r\n'
+            if self.refusals_have_id and 'x-request-id' in headers:
+                head += f'x-request-id: {headers["x-request-id"]}\r\n'
             self.write(writer, 503, head)
+            if target != '/health':
+                self.refusals[writer] = self.encode(503, head)
+                self.last_refusal = self.refusals[writer]
             return True
         if target == '/health':
             self.health_asked += 1
@@ -372,6 +381,7 @@
                 head += f'x-request-id: {headers.get("x-request-id", "")}\r\n'
             self.write(writer, 503, head)
             self.refusals[writer] = self.encode(503, head)
+            self.last_refusal = self.refusals[writer]
             return True
         run = Run(method, target, headers, body, clock())
         return await self.work(reader, writer, run)
@@ -502,6 +512,8 @@
     def repeat_refusal(self, writer: StreamWriter) -> bool:
         """Sends the last refusal on a connection again, if there was one."""
         refusal = self.refusals.get(writer)
+        if self.repeats_elsewhere:
+            refusal = self.last_refusal
         if refusal is None:
             return False
         self.repeats_sent += 1
