--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -254,6 +254,8 @@
             self.fail('not an answer: change of protocol', reset=False)
         except HttpParserError as error:
             self.fail(f'not an answer: {error}', reset=False)
+        except HttpParserUpgrade:
+            self.fail('not an answer: switches protocols', reset=False)
         self.enforce_limits()
 
     def enforce_limits(self) -> None:
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -137,6 +137,26 @@
     resets: bool
 
 
+class Ending(Enum):
+    """What happens to a connection after the bytes of a `RawAnswer`."""
+
+    CLOSES = 'closes'
+    RESETS = 'resets'
+    STAYS = 'stays'
+
+
+class RawAnswer(NamedTuple):
+    """Bytes that a server sends in place of its answer.
+
+    Attributes:
+        content: The bytes, in which `<id>` stands for the request's id.
+        ending: What happens to the connection afterwards.
+    """
+
+    content: bytes
+    ending: Ending
+
+
 class DownAddress(Enum):
     """What happens to connections to the address of a crashed server."""
 
@@ -181,7 +201,12 @@
         refusals_have_id: Whether its refusals name the request.
         repeat: When it sends its last refusal on a connection once more, as it
             works on another request there; None for never.
+        repeats_elsewhere: Whether that may be the last refusal on any of its
+            connections.
         cut_head: How its answers end in their head; None if they don't.
+        raw_answer: What it sends after its work in place of an answer; None
+            if it answers.
+        raw_health: The same for questions for its health.
         arrivals: All requests, also those for its health.
         turned_away: Answers with `pause`: the sender's IP address, when, and
             the pause.
@@ -220,8 +245,12 @@
         self.keep_alive = ''
         self.refusals: dict[StreamWriter, bytes] = {}
         self.repeat: Repeat | None = None
+        self.repeats_elsewhere = False
+        self.last_refusal: bytes | None = None
         self.repeats_sent = 0
         self.cut_head: CutHead | None = None
+        self.raw_answer: RawAnswer | None = None
+        self.raw_health: RawAnswer | None = None
         self.arrivals: list[Arrival] = []
         self.turned_away: list[tuple[str, float, str]] = []
         self.told_leaving: dict[str, float] = {}
@@ -307,12 +336,19 @@
             size = int(headers.get('content-length', '0'))
             await reader.readexactly(size)
             head = f'x-not-executed: 1\r\nretry-after: {self.pause}\r\n'
+            if self.refusals_have_id and 'x-request-id' in headers:
+                head += f'x-request-id: {headers["x-request-id"]}\r\n'
             self.write(writer, 503, head)
+            if target != '/health':
+                self.refusals[writer] = self.encode(503, head)
+                self.last_refusal = self.refusals[writer]
             return True
         if target == '/health':
             self.health_asked += 1
             if self.stream is not None and self.streams_health:
                 return await self.send_stream(writer, self.stream)
+            if self.raw_health is not None:
+                return await self.send_raw(writer, self.raw_health, '')
             head = f'x-instance-id: {self.name}\r\n'
             if self.limits_health:
                 head += self.limit_header()
@@ -345,6 +381,7 @@
                 head += f'x-request-id: {headers.get("x-request-id", "")}\r\n'
             self.write(writer, 503, head)
             self.refusals[writer] = self.encode(503, head)
+            self.last_refusal = self.refusals[writer]
             return True
         run = Run(method, target, headers, body, clock())
         return await self.work(reader, writer, run)
@@ -374,6 +411,8 @@
             return True
         if self.cut_head is not None:
             return await self.answer_in_part(writer, run, self.cut_head)
+        if self.raw_answer is not None:
+            return await self.send_raw(writer, self.raw_answer, run.request_id)
         if self.stream is not None:
             return await self.send_stream(writer, self.stream)
         return await self.answer(writer, run)
@@ -473,6 +512,8 @@
     def repeat_refusal(self, writer: StreamWriter) -> bool:
         """Sends the last refusal on a connection again, if there was one."""
         refusal = self.refusals.get(writer)
+        if self.repeats_elsewhere:
+            refusal = self.last_refusal
         if refusal is None:
             return False
         self.repeats_sent += 1
@@ -495,6 +536,18 @@
             reset(writer)
         return False
 
+    async def send_raw(
+        self, writer: StreamWriter, raw: RawAnswer, request_id: str
+    ) -> bool:
+        """Sends bytes in place of an answer; no other request follows."""
+        writer.write(raw.content.replace(b'<id>', request_id.encode()))
+        await writer.drain()
+        if raw.ending is Ending.STAYS:
+            await sleep(SILENCE_S)
+        if raw.ending is Ending.RESETS:
+            reset(writer)
+        return False
+
     async def send_stream(self, writer: StreamWriter, stream: Stream) -> bool:
         """Sends bytes until the other side closes."""
         start, repeated = stream.value
