--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -250,8 +250,6 @@
             self.parser.feed_data(data)
         except HttpParserCallbackError:
             raise
-        except HttpParserUpgrade:
-            self.fail('not an answer: change of protocol', reset=False)
         except HttpParserError as error:
             self.fail(f'not an answer: {error}', reset=False)
         except HttpParserUpgrade:
