--- a/cowslipmill/host/tests/test_oddentries.py
+++ b/cowslipmill/host/tests/test_oddentries.py
@@ -19,7 +19,17 @@
 
 NESTING = 100_000
 DIGITS = '9' * 5_000
-FIELDS = ('Service', 'Address', 'Zone', 'Slots', 'State', 'born', 'Sequence')
+FIELDS = (
+    'Service',
+    'Address',
+    'Zone',
+    'Slots',
+    'State',
+    'born',
+    'Sequence',
+    'WarmupLeftMs',
+    'Version',
+)
 ODD_VALUES = {
     'nested lists': '[' * NESTING + ']' * NESTING,
     'nested objects': '{"a":' * NESTING + '1' + '}' * NESTING,
@@ -92,3 +102,27 @@
         lambda: fleet.hosts[0].view.servers['one'].record.leaving
     )
     await check_hosts_follow(fleet, 2)
+
+
+@pytest.mark.parametrize('field', FIELDS)
+async def test_an_entry_with_fields_given_twice_stops_no_host(
+    fleet: Fleet, field: str
+) -> None:
+    """The odd value comes first, or last."""
+    await fleet.add_host()
+    await fleet.wait_until_ready()
+    fields = make_server_entry(fleet.backends['one'])
+    text = dumps(fields)
+    for number, value in enumerate(ODD_VALUES.values()):
+        odd = f'"{field}": {value}'
+        for place, raw in enumerate(
+            (f'{{{odd}, {text[1:]}', f'{text[:-1]}, {odd}}}')
+        ):
+            key = f'servers/twice-{number}-{place}'
+            fleet.store.put_raw(key, raw.encode())
+        await sleep(0.02)
+    for number in range(len(ODD_VALUES)):
+        for place in range(2):
+            fleet.store.remove(f'servers/twice-{number}-{place}')
+    await sleep(0.2)
+    await check_hosts_follow(fleet, 2)
