Play refusals of health requests that come again

The last answer to a health request, also a refusal with Retry-After, comes again on the connection before the next one; all requests sent a second after the end of a pause of 0.2 s are served.

--- a/cowslipmill/host/tests/test_repeatedrefusals.py
+++ b/cowslipmill/host/tests/test_repeatedrefusals.py
@@ -253,3 +253,25 @@
     for number in range(4):
         responses += await send(fleet, 'book', f'later-{number}', 0)
     check(fleet, responses)
+
+
+async def test_a_repeated_refusal_of_a_health_request_ends_no_service(
+    fleet: Fleet,
+) -> None:
+    """The pause that it names is over; requests are served again."""
+    backends = list(fleet.backends.values())
+    responses = await send(fleet, 'book', 'served', 0)
+    for backend in backends:
+        backend.repeats_health = True
+    for number in range(3):
+        for backend in backends:
+            backend.pause = '0.2'
+        responses += await send(fleet, 'book', f'paused-{number}', 0)
+        for backend in backends:
+            backend.pause = ''
+        await sleep(1.0)
+        again = await send(fleet, 'book', f'again-{number}', 0)
+        assert_that({r.status for r in again}, Equals({200}))
+        responses += again
+    check(fleet, responses)
+    assert_that(min(b.health_asked for b in backends), GreaterThan(0))
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -207,6 +207,8 @@
         raw_answer: What it sends after its work in place of an answer; None
             if it answers.
         raw_health: The same for questions for its health.
+        repeats_health: Whether its last answer to a question for its health
+            comes once more on a connection, before that to the next one.
         arrivals: All requests, also those for its health.
         turned_away: Answers with `pause`: the sender's IP address, when, and
             the pause.
@@ -251,6 +253,8 @@
         self.cut_head: CutHead | None = None
         self.raw_answer: RawAnswer | None = None
         self.raw_health: RawAnswer | None = None
+        self.repeats_health = False
+        self.health_answers: dict[StreamWriter, bytes] = {}
         self.arrivals: list[Arrival] = []
         self.turned_away: list[tuple[str, float, str]] = []
         self.told_leaving: dict[str, float] = {}
@@ -338,8 +342,10 @@
             head = f'x-not-executed: 1\r\nretry-after: {self.pause}\r\n'
             if self.refusals_have_id and 'x-request-id' in headers:
                 head += f'x-request-id: {headers["x-request-id"]}\r\n'
-            self.write(writer, 503, head)
-            if target != '/health':
+            if target == '/health':
+                self.write_health(writer, 503, head)
+            else:
+                self.write(writer, 503, head)
                 self.refusals[writer] = self.encode(503, head)
                 self.last_refusal = self.refusals[writer]
             return True
@@ -352,7 +358,7 @@
             head = f'x-instance-id: {self.name}\r\n'
             if self.limits_health:
                 head += self.limit_header()
-            self.write(writer, 200, head)
+            self.write_health(writer, 200, head)
             return True
         if self.fault is Fault.EARLY:
             return await self.answer_early(reader, writer, headers)
@@ -509,6 +515,15 @@
             loop.call_later(LATE_S, self.write, writer, 200, head, b'extra')
         return True
 
+    def write_health(
+        self, writer: StreamWriter, status: int, head: str
+    ) -> None:
+        """Answers a question for its health, after the last answer if told."""
+        if self.repeats_health:
+            writer.write(self.health_answers.get(writer, b''))
+        self.write(writer, status, head)
+        self.health_answers[writer] = self.encode(status, head)
+
     def repeat_refusal(self, writer: StreamWriter) -> bool:
         """Sends the last refusal on a connection again, if there was one."""
         refusal = self.refusals.get(writer)
