Show that a stop which begins late passes on what its kill cuts off

What callers see (LOST): a busy host that is stopped as planned takes requests late in the grace, passes them on and is killed while servers work on them.

Cause: Host.drain counts the time to its end from when it runs, and not from the signal.

--- a/cowslipmill/host/tests/test_lostanswers.py
+++ b/cowslipmill/host/tests/test_lostanswers.py
@@ -5,28 +5,63 @@
 """
 
 from asyncio import create_task
+from asyncio import gather
 from asyncio import open_connection
 from asyncio import sleep
 from asyncio import timeout
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from itertools import count
+from pathlib import Path
+from signal import SIGKILL
+from signal import SIGTERM
+from signal import SIGUSR1
+from subprocess import Popen
+import sys
+from threading import Timer
 
+from msgspec import json
+from msgspec import Struct
 import pytest
+import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import HOST_HEADER
+from cowslipmill.host.tests.measuredhost import MeasuredHost
+from cowslipmill.launch.launcher import Launcher
 
 # Longer than a caller may be left without an answer after its last byte.
 WORK_S = 0.6
 # `Bounds.LossSlackMs` of the platform.
 SLACK_S = 0.2
+# Work, deadline and rate of requests that come to the end of a stop.
+LATE_WORK_S = 0.2
+LATE_DEADLINE_MS = 500
+LATE_INTERVAL_S = 0.05
+# A host whose event loop is held up for 1.2 s by SIGUSR1.
+HELD_UP_HOST = """
+from signal import SIGUSR1
+from signal import signal
+from time import monotonic
 
+def hold_up(number, frame):
+    until = monotonic() + 1.2
+    while monotonic() < until:
+        pass
 
-def encode_request(request_id: str) -> bytes:
+signal(SIGUSR1, hold_up)
+from cowslipmill.host.main import run
+run()
+"""
+
+
+def encode_request(request_id: str, deadline_ms: int = 2_000) -> bytes:
     """Returns a request as a caller sends it."""
     return (
         f'POST /book/{request_id} HTTP/1.1\r\nhost: {HOST_HEADER}\r\n'
-        f'x-request-id: {request_id}\r\nx-deadline-ms: 2000\r\n'
+        f'x-request-id: {request_id}\r\nx-deadline-ms: {deadline_ms}\r\n'
         'content-length: 4\r\n\r\nbody'
     ).encode()
 
@@ -83,3 +118,78 @@
     async with timeout(SLACK_S):
         assert_that(await reader.read(), Equals(b''))
     writer.close()
+
+
+class HeldUpLauncher(Launcher):
+    """Starts hosts that can be held up."""
+
+    def start(
+        self,
+        program: str,
+        name: str,
+        settings: Struct,
+        *,
+        sources: Path | None = None,
+    ) -> None:
+        """Starts a host with a settings file of its own."""
+        path = self.directory / f'{name}.json'
+        path.write_bytes(json.encode(settings))
+        command = [sys.executable, '-c', HELD_UP_HOST, f'--settings={path}']
+        with (self.directory / f'{name}.log').open('ab') as log:
+            self.processes[name] = Popen(command, stdout=log, stderr=log)
+
+
+@pytest_asyncio.fixture
+async def held_up_host() -> AsyncIterator[MeasuredHost]:
+    """Starts one host process that can be held up."""
+    with HeldUpLauncher() as launcher:
+        host = MeasuredHost(launcher)
+        await host.start()
+        yield host
+        await host.stop()
+
+
+async def test_a_stop_that_begins_late_cuts_off_no_request_that_ran(
+    held_up_host: MeasuredHost,
+) -> None:
+    """The time to the kill counts from the signal, not from its handling."""
+    host = held_up_host
+    host.backends[0].work_s = LATE_WORK_S
+    answered: set[str] = set()
+    gone = False
+
+    async def send(request_id: str) -> None:
+        """Sends one request; records it if it gets an answer."""
+        nonlocal gone
+        try:
+            reader, writer = await open_connection(
+                *host.settings.callers_listen
+            )
+        except OSError:
+            gone = True
+            return
+        writer.write(encode_request(request_id, LATE_DEADLINE_MS))
+        with suppress(OSError):
+            if await reader.read(1):
+                answered.add(request_id)
+        writer.close()
+
+    host.launcher.send_signal('host-0', SIGUSR1)
+    await sleep(0.1)
+    host.launcher.send_signal('host-0', SIGTERM)
+    # The process runs in real time, unlike the loop of the tests.
+    kill_timer = Timer(
+        host.settings.stop_s, host.launcher.send_signal, ('host-0', SIGKILL)
+    )
+    kill_timer.start()
+    callers = []
+    for number in count():
+        if gone:
+            break
+        callers.append(create_task(send(f'late{number}')))
+        await sleep(LATE_INTERVAL_S)
+    await gather(*callers)
+    kill_timer.cancel()
+    ran = {run.request_id for run in host.backends[0].runs}
+    assert_that(len(ran & answered) > 0, Equals(True))
+    assert_that(ran - answered, Equals(set()))
