Close connections of callers only when they have taken the response

Callers saw: a large response cut off by a reset if its caller read slowly and sent anything after the request, with Connection: close of either side.

Cause: the system resets a connection that is closed with input unread, and drops what it hasn't delivered. Only rejections avoided that.

Change: after every last response the host ends its output and discards input until the caller closes, for LINGER_S at most.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -7,6 +7,7 @@
 from asyncio import get_running_loop
 from asyncio import Protocol
 from asyncio import Task
+from asyncio import TimerHandle
 from asyncio import Transport
 from collections import deque
 from collections.abc import Awaitable
@@ -47,8 +48,9 @@
 REQUEST_BYTES = 8_192
 # What a head takes on the wire beyond what its limit counts.
 HEAD_MARGIN_BYTES = 1_024
-# Longest time for which the rest of a rejected request is read. Closing
-# at once would reset the connection, and the caller would lose the response.
+# Longest time for which input is discarded after the last response. Closing
+# with input unread would reset the connection, and the caller would lose what
+# it hasn't received of the response.
 LINGER_S = 10.0
 # Longest time that a request may take to arrive; no caller waits so long.
 MAX_RECEIVE_S = 60.0
@@ -214,6 +216,8 @@
             for the connection to be closed or was rejected.
         rejection: The error response to a rejected request, until it is sent
             after the responses to the requests before it.
+        linger_timer: Closes the connection some time after its last response;
+            None before.
         holding: The memory of the connection and of the request that is being
             received; a complete request has its own.
         untaken_bytes: Bytes of responses that the caller had not taken at
@@ -239,6 +243,7 @@
         self.receiving = False
         self.input_ended = False
         self.rejection: Response | None = None
+        self.linger_timer: TimerHandle | None = None
         self.clear_request()
 
     def clear_request(self) -> None:
@@ -294,6 +299,8 @@
         """Drops pending requests and calls `on_disconnect`."""
         self.disconnected = True
         self.server.connections.discard(self)
+        if self.linger_timer is not None:
+            self.linger_timer.cancel()
         self.holding.release()
         self.clear_request()
         self.pending.clear()
@@ -564,7 +571,7 @@
                 await self.drain(response)
                 self.phase_started_at = self.server.clock()
                 if close:
-                    self.close()
+                    self.linger()
                     return
             if self.rejection is not None and not self.disconnected:
                 self.send_rejection(self.rejection)
@@ -679,9 +686,22 @@
     def send_rejection(self, response: Response) -> None:
         """Sends an error response as the last one and closes later."""
         self.write(encode_response_head(response, close=True), b'', None)
-        if self.transport is not None and self.transport.can_write_eof():
+        self.linger()
+
+    def linger(self) -> None:
+        """Closes once the caller does, or after some time.
+
+        Until then its input is discarded, as it may still be receiving the
+        last response.
+        """
+        if self.transport is None or self.disconnected:
+            return
+        self.input_ended = True
+        self.transport.resume_reading()
+        if self.transport.can_write_eof():
             self.transport.write_eof()
-        get_running_loop().call_later(LINGER_S, self.close)
+        loop = get_running_loop()
+        self.linger_timer = loop.call_later(LINGER_S, self.close)
 
     def enforce_timeouts(self, now: float) -> None:
         """Closes the connection if its head or idle timeout has passed.
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -367,3 +367,35 @@
     task.cancel()
     await sleep(PAUSE_S)
     assert_that(task.cancelled(), Equals(True))
+
+
+LARGE_BYTES = 8 * 1_048_576
+
+
+@pytest.mark.parametrize('closing', [False, True])
+async def test_a_slow_reader_that_sends_on_gets_its_whole_response(
+    caller: Caller, closing: bool
+) -> None:
+    """Closing with bytes unread resets the connection, with the response."""
+    body = bytes(LARGE_BYTES)
+
+    async def respond(*arguments: object) -> Response:
+        await sleep(PAUSE_S)
+        return Response(200, [], body)
+
+    caller.server.handler = respond
+    caller.server.closing = closing
+    fields = b'' if closing else b'connection: close\r\n'
+    received = 0
+    async with timeout(2 * WAIT_S):
+        await caller.send(make_request(b'1', fields))
+        caller.writer.write(b'x' * 100)
+        while part := await caller.reader.read(65_536):
+            received += len(part)
+            caller.writer.write(make_request(b'2'))
+            if received < LARGE_BYTES // 2:
+                await sleep(0.002)
+    assert_that(received > LARGE_BYTES, Equals(True))
+    caller.writer.close()
+    await sleep(PAUSE_S)
+    assert_that(len(caller.server.connections), Equals(0))
