--- a/cowslipmill/host/tests/test_internalerrors.py
+++ b/cowslipmill/host/tests/test_internalerrors.py
@@ -32,7 +32,6 @@
 from cowslipmill.peers.link import Link
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.runtime.backgrounderrors import BACKGROUND_ERRORS
-from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.view.reader import StoreReader
 from cowslipmill.view.view import View
 
