Release what a connection received in part before it lingers

A request that crosses the announced close kept its memory until the connection ended. Tests of the bounds of connections that linger: time, memory as idle connections (small requests end none of them, as before), and that they keep no stopping host.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -697,6 +697,8 @@
         if self.transport is None or self.disconnected:
             return
         self.input_ended = True
+        self.clear_request()
+        self.holding.resize(CONNECTION_BYTES)
         self.transport.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -22,11 +22,14 @@
 from testtools.matchers import Equals
 from testtools.matchers import StartsWith
 
+from cowslipmill.http1 import callerconnection
 from cowslipmill.http1.callerconnection import CallerConnection
 from cowslipmill.http1.callerconnection import CallerLimits
 from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerconnection import CONNECTION_BYTES
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.memory.budget import MemoryBudget
 
 LIMITS = CallerLimits(1_000, 5_000, 3.0, 15.0)
 WORK_S = 0.1
@@ -399,3 +402,42 @@
     caller.writer.close()
     await sleep(PAUSE_S)
     assert_that(len(caller.server.connections), Equals(0))
+
+
+async def test_a_caller_that_stays_after_the_last_response_is_closed(
+    caller: Caller, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It keeps neither its connection nor a stopping host."""
+    monkeypatch.setattr(callerconnection, 'LINGER_S', 2 * WORK_S)
+    caller.server.closing = True
+    await caller.send(make_request(b'1') + make_request(b'2')[:20])
+    await sleep(1.5 * WORK_S)
+    assert_that(len(caller.server.connections), Equals(1))
+    assert_that(caller.server.busy, Equals(False))
+    await sleep(2 * WORK_S)
+    assert_that(len(caller.server.connections), Equals(0))
+
+
+async def test_connections_that_linger_count_as_idle_ones(
+    caller: Caller,
+) -> None:
+    """Callers that never close can't make a host keep more of them."""
+    budget = MemoryBudget('callers', 8 * CONNECTION_BYTES)
+    caller.server.memory = budget
+    host, port = caller.writer.get_extra_info('peername')
+    writers = []
+    for _ in range(16):
+        _, writer = await open_connection(host, port)
+        writer.write(make_request(b'1', b'connection: close\r\n'))
+        writers.append(writer)
+        await sleep(PAUSE_S)
+    await sleep(WORK_S)
+    assert_that(caller.server.busy, Equals(False))
+    # The first connection counts against the budget that was before.
+    assert_that(len(caller.server.connections) <= 9, Equals(True))
+    assert_that(budget.held_bytes <= budget.limit_bytes, Equals(True))
+    for writer in writers:
+        writer.close()
+    await sleep(PAUSE_S)
+    caller.handled.clear()
+    assert_that(budget.held_bytes, Equals(0))
