Answer callers of an entry that have closed only their sending side

If the end of input came right behind the request, the request was dropped before it began.

Cause: the end of input was taken for the end of the connection, since the protocol of the HTTP library lets the transport close.

Change: the connection stays open for writing while a request is owed its response and either its caller announced with `Connection: close` (or HTTP/1.0) that it sends no more, or the request must not be repeated and was handed over to be sent. A repeatable request on a kept connection is cancelled as before, as its caller looks like one that has left. A request that lacks a part of its body still ends with its input. The cost: a caller that announced the end and left before its response costs the rest of the request's time.

Not measured: processor time of a request.

--- a/cowslipmill/entry/connection.py
+++ b/cowslipmill/entry/connection.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from typing import cast
 
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
 from aiohttp.web import BaseRequest
 from aiohttp.web import RequestHandler
 from aiohttp.web import Response
@@ -51,14 +53,27 @@
             seconds), or None.
         over_limit: Whether it was accepted beyond `MAX_CONNECTIONS`.
         serving: Whether a request is being served.
+        served: Number of requests that have their outcome.
+        unrepeatable: Whether the request that is being served may have run
+            and must not be repeated.
+        newest_head: Head of the request that was read last, or what stands
+            in its place if it cannot be read; None before the first.
+        newest_body: The body of that request.
+        input_closed: Whether the caller has closed its sending side, and
+            waits for responses.
     """
 
     __slots__ = (
         'caller_transport',
         'head_started_at',
+        'input_closed',
+        'newest_body',
+        'newest_head',
         'over_limit',
+        'served',
         'server',
         'serving',
+        'unrepeatable',
         'unsent_since',
     )
 
@@ -80,6 +95,11 @@
         self.unsent_since: float | None = None
         self.over_limit = False
         self.serving = False
+        self.served = 0
+        self.unrepeatable = False
+        self.newest_head: object = None
+        self.newest_body: StreamReader | None = None
+        self.input_closed = False
         self.caller_transport: Transport | None = None
 
     def connection_made(self, transport: BaseTransport) -> None:
@@ -94,6 +114,7 @@
     def connection_lost(self, error: BaseException | None) -> None:
         """Decrements the gauge of open connections."""
         super().connection_lost(error)
+        self.newest_body = None
         CALLER_CONNECTIONS.dec()
 
     def data_received(self, data: bytes) -> None:
@@ -101,6 +122,35 @@
         if self.head_started_at is None and not self.serving:
             self.head_started_at = self.server.clock()
         super().data_received(data)
+        if self._messages:
+            self.newest_head, self.newest_body = self._messages[-1]
+
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Keeps the connection open if its caller waits for a response.
+
+        The caller may have closed the connection, or only its sending side:
+        both look the same. One that has announced with `Connection: close`
+        that it sends no more is taken to wait. So is one whose request must
+        not be repeated, as the request goes on at its server. Any other has
+        left, and its request is cancelled.
+        """
+        self.input_closed = self.owes_response and (
+            self.unrepeatable or self.end_announced
+        )
+        return self.input_closed
+
+    @property
+    def owes_response(self) -> bool:
+        """Whether a request whose head was read has no outcome yet."""
+        return self._request_count > self.served
+
+    @property
+    def end_announced(self) -> bool:
+        """Whether the newest request is complete, and the last one."""
+        head = self.newest_head
+        if not isinstance(head, RawRequestMessage) or not head.should_close:
+            return False
+        return self.newest_body is not None and self.newest_body.is_eof()
 
     def begin_request(self) -> None:
         """Stops the head timeout: the request head is complete."""
@@ -110,6 +160,8 @@
     def end_request(self) -> None:
         """Marks the connection as idle: the request has its outcome."""
         self.serving = False
+        self.unrepeatable = False
+        self.served += 1
 
     def find_stall(self, unsent: int, now: float) -> Stall | None:
         """Returns why the connection must be aborted, or None.
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -174,7 +174,10 @@
             if not self.in_flight:
                 self.idle.set()
         route_metrics(name).duration.observe(self.clock() - arrived_at)
-        return self.build_response(name, outcome)
+        response = self.build_response(name, outcome)
+        if connection.input_closed and not connection.owes_response:
+            response.force_close()
+        return response
 
     async def serve_until_outcome(
         self,
@@ -285,4 +288,7 @@
         deadline_ms = read_deadline_ms(request, route.deadline_ms)
         deadline_at = arrived_at + deadline_ms / 1000
         self.in_flight[task] = True
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.unrepeatable = not route.idempotent
         return await self.request_guard.dispatch(route, outgoing, deadline_at)
--- a/cowslipmill/entry/tests/conftest.py
+++ b/cowslipmill/entry/tests/conftest.py
@@ -21,6 +21,7 @@
 END = b'\r\n\r\n'
 GET = b'GET /desks/7 HTTP/1.1\r\nHost: a\r\n'
 POST = b'POST /desks/7 HTTP/1.1\r\nHost: a\r\n'
+UNREPEATABLE = b'POST /orders HTTP/1.1\r\nHost: a\r\n'
 PLAIN_RESPONSE = Answered(200, (('X-From', 'server'),), b'whole', 'desk-0')
 
 
@@ -90,7 +91,7 @@
 
 @pytest_asyncio.fixture
 async def caller() -> AsyncIterator[Caller]:
-    """Returns a caller of a listener with one route."""
+    """Returns a caller of a listener with two routes."""
     routing_state = RoutingState(
         Member(
             name='entry-0',
@@ -116,6 +117,14 @@
                     idempotent=True,
                     max_request_bytes=100,
                 ),
+                Route(
+                    name='order',
+                    team='a',
+                    service='desk',
+                    methods=('POST',),
+                    path='/orders',
+                    idempotent=False,
+                ),
             ),
         )
     )
