--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -9,6 +9,7 @@
 from asyncio import StreamReader
 from asyncio import StreamWriter
 from enum import Enum
+from random import Random
 from socket import SO_LINGER
 from socket import SOL_SOCKET
 from struct import pack
@@ -110,6 +111,7 @@
         b'1\r\na\r\n0\r\n',
         b'ab:cd\r\n' * 1_024,
     )
+    INTERIM = (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 1_024)
     TRICKLING_HEAD = (b'HTTP/1.1 200 OK\r\nx-long: ', b'x')
     TRICKLING_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'x')
 
@@ -206,7 +208,12 @@
         cut_head: How its answers end in their head; None if they don't.
         raw_answer: What it sends after its work in place of an answer; None
             if it answers.
-        raw_health: The same for questions for its health.
+        fails_at_once: What it sends before any work in place of an answer;
+            None if it works.
+        failed_share: Share of the requests that it fails so, from 0 to 1,
+            drawn at random with its name as seed.
+        failed_at_once: Number of requests that it failed so.
+        raw_health: The same as `raw_answer` for questions for its health.
         repeats_health: Whether its last answer to a question for its health
             comes once more on a connection, before that to the next one.
         arrivals: All requests, also those for its health.
@@ -252,6 +259,10 @@
         self.repeats_sent = 0
         self.cut_head: CutHead | None = None
         self.raw_answer: RawAnswer | None = None
+        self.fails_at_once: Stream | RawAnswer | None = None
+        self.failed_share = 1.0
+        self.failed_at_once = 0
+        self.random = Random(name)
         self.raw_health: RawAnswer | None = None
         self.repeats_health = False
         self.health_answers: dict[StreamWriter, bytes] = {}
@@ -402,6 +413,12 @@
         if self.break_marker and self.break_marker in run.target:
             reset(writer)
             return False
+        fault = self.fails_at_once
+        if fault is not None and self.draws_failure():
+            self.failed_at_once += 1
+            if isinstance(fault, Stream):
+                return await self.send_stream(writer, fault)
+            return await self.send_raw(writer, fault, run.request_id)
         if self.repeat is Repeat.BEFORE_WORK:
             self.repeat_refusal(writer)
         self.running += 1
@@ -423,6 +440,10 @@
             return await self.send_stream(writer, self.stream)
         return await self.answer(writer, run)
 
+    def draws_failure(self) -> bool:
+        """Returns whether it fails its latest request at once."""
+        return self.random.random() < self.failed_share
+
     async def crash(self, writer: StreamWriter) -> bool:
         """Ends with every connection and starts again after a while."""
         loop = get_running_loop()
