Answer what waits behind a request when an entry stops

Cause: each response of a stopping entry closed its connection, and the drain looked only for requests in flight, of which there are none for a moment between two on a connection.

Change: the connection closes after the last response that is owed on it, and the drain waits until none is owed on any. Requests that wait behind one that is aborted at the bound of the stop are told as not run, for which they have 0.5 s. Refused requests whose rest can't be trusted close the connection as before; "stopping" isn't such a reason.

--- a/cowslipmill/entry/connection.py
+++ b/cowslipmill/entry/connection.py
@@ -228,6 +228,15 @@
         """Returns the protocol of a new connection."""
         return CallerConnection(self)
 
+    @property
+    def owes_responses(self) -> bool:
+        """Whether a request on any connection has no outcome yet."""
+        return any(
+            isinstance(connection, CallerConnection)
+            and connection.owes_response
+            for connection in self.connections
+        )
+
     def enforce_timeouts(self, now: float) -> None:
         """Aborts every connection whose caller exceeded a timeout."""
         for connection in self.connections:
--- a/cowslipmill/entry/listener.py
+++ b/cowslipmill/entry/listener.py
@@ -2,7 +2,7 @@
 
 from asyncio import CancelledError
 from asyncio import current_task
-from asyncio import Event
+from asyncio import sleep
 from asyncio import Task
 from asyncio import timeout
 from collections.abc import Callable
@@ -45,13 +45,15 @@
 BACKLOG = 1_024
 SERVER_NAME = 'cowslipmill'
 CLOSE_TIMEOUT_S = 2.0
+DRAIN_CHECK_INTERVAL_S = 0.02
+# Longest time for the outcomes of requests that are aborted.
+ABORT_TIMEOUT_S = 0.5
 # After these the caller's remaining bytes cannot be trusted.
 CLOSING_REASONS = frozenset(
     (
         Reason.BAD_REQUEST,
         Reason.REQUEST_TOO_LARGE,
         Reason.SLOW_CALLER,
-        Reason.STOPPING,
     )
 )
 
@@ -70,7 +72,6 @@
             their server.
         in_flight: Tasks of the requests in flight, each with whether it
             was handed to the request guard.
-        idle: Set when the last request in flight ends.
     """
 
     def __init__(
@@ -92,7 +93,6 @@
         self.stopping = False
         self.aborting = False
         self.in_flight: dict[Task[Any], bool] = {}
-        self.idle = Event()
 
     async def on_start(self) -> None:
         """Starts to listen.
@@ -120,25 +120,39 @@
             self.server.enforce_timeouts(self.clock())
 
     async def drain(self, timeout_s: float) -> None:
-        """Stops accepting connections and ends every request in flight.
+        """Stops accepting connections and ends every request received.
 
         Args:
-            timeout_s: How long to wait for the requests in flight; those
-                left then get the outcome as known so far.
+            timeout_s: How long to wait for the requests in flight and those
+                that wait behind them on a connection; those left then get
+                the outcome as known so far.
         """
         self.stopping = True
         for site in list(self.runner.sites):
             await site.stop()
-        self.idle.clear()
+        if await self.wait_until_answered(timeout_s):
+            return
+        self.aborting = True
+        for task in list(self.in_flight):
+            task.cancel()
+        await self.wait_until_answered(ABORT_TIMEOUT_S)
+
+    async def wait_until_answered(self, timeout_s: float) -> bool:
+        """Waits until every request received has its outcome.
+
+        Args:
+            timeout_s: How long to wait.
+
+        Returns:
+            Whether every request has.
+        """
         try:
             async with timeout(timeout_s):
-                while self.in_flight:
-                    await self.idle.wait()
-                    self.idle.clear()
+                while self.in_flight or self.server.owes_responses:
+                    await sleep(DRAIN_CHECK_INTERVAL_S)
         except TimeoutError:
-            self.aborting = True
-            for task in list(self.in_flight):
-                task.cancel()
+            return False
+        return True
 
     async def on_stop(self) -> None:
         """Closes every connection once its last response is sent."""
@@ -171,14 +185,27 @@
             connection.end_request()
             REQUESTS_IN_FLIGHT.dec()
             del self.in_flight[task]
-            if not self.in_flight:
-                self.idle.set()
         route_metrics(name).duration.observe(self.clock() - arrived_at)
         response = self.build_response(name, outcome)
-        if connection.input_closed and not connection.owes_response:
+        if self.closes_after(outcome, connection):
             response.force_close()
         return response
 
+    def closes_after(
+        self, outcome: Outcome, connection: CallerConnection
+    ) -> bool:
+        """Returns whether a connection closes after the response due on it.
+
+        What was read whole behind the request is answered before, unless it
+        cannot be trusted.
+        """
+        if not isinstance(outcome, Answered):
+            if outcome.reason in CLOSING_REASONS:
+                return True
+        if connection.owes_response:
+            return False
+        return self.stopping or connection.input_closed
+
     async def serve_until_outcome(
         self,
         request: BaseRequest,
@@ -245,16 +272,14 @@
             route_metrics(route).count_refused(
                 outcome.label, outcome.reason.value
             )
-            if outcome.reason in CLOSING_REASONS:
-                response.force_close()
-        if self.stopping:
-            response.force_close()
         return response
 
     def find_route(
         self, request: BaseRequest, connection: CallerConnection
     ) -> Route | NotRun:
         """Returns the route of a request, or why it is refused."""
+        if self.aborting:
+            return NotRun(Reason.STOPPING, RETRY_AFTER_MS)
         if connection.over_limit:
             return NotRun(Reason.OVERLOADED, RETRY_AFTER_MS)
         refusal = check_head(request)
