Reject fields after a body that pass the header limit

Callers saw: a caller that sends fields after a chunked body without end kept the event loop busy; none of them was counted, kept or refused. A field without end was kept by the parser and not counted as memory.

Cause: fields after a body were skipped as they arrived, and bytes that end no part of a message counted only in a head.

Change: fields after a body have the header limit to themselves; past it the caller gets 431 and the rest is discarded unparsed. Bytes since the last part of a body count as memory, and past the limit of a head get 431.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -216,8 +216,10 @@
             the first byte of the present request arrived.
         receiving: Whether a request has been received in part.
         request_number: Number of the request that is received next.
-        unfinished_bytes: Bytes received of a head that isn't complete. The
-            parser keeps a header to itself until its line ends.
+        unfinished_bytes: Bytes received of a head that isn't complete, or
+            since the last part of the body. The parser keeps a header to
+            itself until its line ends.
+        trailer_size: Size of the fields received after the body.
         pacer: Slows down a body of many small chunks.
         declared_bytes: Size of the body that the request's head announces.
         upgrading: Whether its head asks for another protocol.
@@ -267,6 +269,7 @@
         self.headers: Headers = []
         self.body = BodyBuffer()
         self.head_size = 0
+        self.trailer_size = 0
         self.headers_complete = False
         self.unfinished_bytes = 0
         self.declared_bytes = 0
@@ -396,6 +399,8 @@
             self.receiving = True
             self.phase_started_at = self.server.clock()
         number = self.request_number
+        in_body = self.headers_complete
+        body_bytes = len(self.body.data)
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade as upgrade:
@@ -405,7 +410,12 @@
         except HttpParserError:
             self.reject(400)
         if self.receiving and not self.input_ended:
-            if number == self.request_number and not self.headers_complete:
+            if len(self.body.data) != body_bytes:
+                self.unfinished_bytes = 0
+            elif (
+                number == self.request_number
+                and in_body == self.headers_complete
+            ):
                 self.unfinished_bytes += len(data)
             self.hold_request()
             self.pace()
@@ -485,6 +495,8 @@
     def head_memory(self) -> int:
         """Memory of the target and the headers received, in bytes."""
         overhead = HEADER_OVERHEAD_BYTES * len(self.headers)
+        if self.headers_complete:
+            return self.head_size + self.unfinished_bytes + overhead
         return max(self.head_size, self.unfinished_bytes) + overhead
 
     def on_url(self, url: bytes) -> None:
@@ -493,8 +505,13 @@
         self.count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds one header; skips the fields after a body."""
-        if self.headers_complete or self.input_ended:
+        """Adds one header; skips the fields after a body, up to a limit."""
+        if self.input_ended:
+            return
+        if self.headers_complete:
+            self.trailer_size += len(name) + len(value) + 4
+            if self.trailer_size > self.server.limits.header_bytes:
+                self.reject(431)
             return
         self.headers.append((name.lower(), value))
         # The four bytes are the colon, a space and the line end.
@@ -573,6 +590,7 @@
 
     def take_request(self) -> Request | None:
         """Returns the complete request; None if there is no memory for it."""
+        self.unfinished_bytes = 0
         size = REQUEST_BYTES + self.head_memory + len(self.body.data)
         self.holding.resize(CONNECTION_BYTES)
         holding = Holding(self.server.memory, str(self))
