Read less from callers whose input takes much processor time

Callers saw: sound requests got slow or were not served while others sent many fields, fields after a body, or requests without reading answers. One read of 64 KiB was parsed in one go, and nothing counted what parsing took.

Cause: memory has an account, and processor time had none.

Change: large reads are parsed in slices, for 0.5 ms in a turn. What waits is in the memory account, counts as busy, and is parsed before the host or the connection ends. The processor time is charged to the connection and its caller's address; reading pauses by that, and no timeout counts the pause. Requests that are sent ahead of their answers count as 0.3 ms each, reads that are discarded as 0.2 ms. New connections of a heavy address wait for their turn with their first large read.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -5,6 +5,7 @@
 from asyncio import create_task
 from asyncio import current_task
 from asyncio import get_running_loop
+from asyncio import Handle
 from asyncio import Protocol
 from asyncio import Task
 from asyncio import TimerHandle
@@ -16,6 +17,7 @@
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
 from sys import maxsize
+from time import thread_time
 from typing import cast
 
 from httptools import HttpParserCallbackError
@@ -36,6 +38,9 @@
 from cowslipmill.memory.budget import Holding
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.runtime.readsize import limit_read_size
+from cowslipmill.runtime.readsize import READ_BYTES
+from cowslipmill.runtime.workshare import ConnectionWork
+from cowslipmill.runtime.workshare import WorkShares
 
 LOG = getLogger(__name__)
 
@@ -57,6 +62,19 @@
 STALL_S = 1.0
 # Longest time that a request may take to arrive; no caller waits so long.
 MAX_RECEIVE_S = 60.0
+# Input that is parsed in one go, in bytes: at first, and after parts that took
+# little processor time.
+SLICE_BYTES = 4_096
+MAX_SLICE_BYTES = 16_384
+CHEAP_SLICE_S = 0.000_1
+# Processor time after which the rest of the input waits for the next turn of
+# the event loop.
+TURN_S = 0.000_5
+# Processor time of handling a request, for those that arrive before the one
+# before them is answered.
+PIPELINED_S = 0.000_3
+# Processor time of a read whose data is discarded.
+DISCARDED_READ_S = 0.000_2
 # Retry-After of a request for which there is no memory; other hosts may have
 # some at once.
 MEMORY_RETRY_AFTER_S = 0.5
@@ -109,6 +127,11 @@
             were received on it are answered.
         ended: Whether no further request is handled.
         connections: The open connections.
+        shares: What the input of callers takes of the event loop.
+        work_clock: Returns the seconds of processor time that the event loop
+            has taken.
+        slice_bytes: Input that is parsed in one go, in bytes.
+        turn_s: Processor time of input in a turn of the event loop.
     """
 
     __slots__ = (
@@ -120,6 +143,10 @@
         'limits',
         'memory',
         'request_id_header',
+        'shares',
+        'slice_bytes',
+        'turn_s',
+        'work_clock',
     )
 
     def __init__(
@@ -130,6 +157,9 @@
         memory: MemoryBudget | None = None,
         *,
         request_id_header: bytes = b'',
+        work_clock: Callable[[], float] = thread_time,
+        slice_bytes: int = SLICE_BYTES,
+        turn_s: float = TURN_S,
     ) -> None:
         """Starts without connections.
 
@@ -141,8 +171,17 @@
                 limit.
             request_id_header: Header that this host's own responses echo
                 from their request; empty for none.
+            work_clock: Returns the seconds of processor time that the event
+                loop has taken.
+            slice_bytes: Input that is parsed in one go, in bytes.
+            turn_s: Processor time of input in a turn of the event loop, in
+                seconds.
         """
         self.request_id_header = request_id_header
+        self.shares = WorkShares('callers')
+        self.work_clock = work_clock
+        self.slice_bytes = slice_bytes
+        self.turn_s = turn_s
         self.memory = memory or MemoryBudget('unlimited', maxsize)
         self.handler = handler
         self.limits = limits
@@ -186,6 +225,8 @@
         and cut off when the process ends. One whose connection is closed
         instead counts as not read, also if a part of it has arrived.
         """
+        for connection in list(self.connections):
+            connection.parse_all()
         self.ended = True
         for connection in list(self.connections):
             if not connection.owes_answer:
@@ -238,6 +279,13 @@
         untaken_since: Monotonic seconds since when it has taken none of them.
         untaken: The memory of the response that it is taking; None if there
             is none, or if the memory isn't counted.
+        rest: Input that waits to be parsed.
+        rest_holding: Its memory.
+        work: What the input of the connection takes of the event loop.
+        shown: Whether input of more than one slice has been parsed.
+        turn: Parses the rest in the next turn of the event loop, or after a
+            pause; None if none is due.
+        paused: Whether that is after a pause, in which nothing is read.
     """
 
     def __init__(self, server: CallerServer) -> None:
@@ -246,6 +294,12 @@
         self.transport: Transport | None = None
         self.outgoing: OutgoingData | None = None
         self.holding = Holding(server.memory, self)
+        self.rest = b''
+        self.rest_holding = Holding(server.memory, self)
+        self.work = ConnectionWork(server.shares, 'unknown')
+        self.shown = False
+        self.turn: Handle | None = None
+        self.paused = False
         self.request_number = 0
         self.untaken_bytes = 0
         self.untaken_since = 0.0
@@ -280,7 +334,9 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being received or handled."""
-        return not self.receiving and not self.pending and self.task is None
+        if self.rest or self.receiving:
+            return False
+        return not self.pending and self.task is None
 
     @property
     def busy(self) -> bool:
@@ -289,7 +345,7 @@
         A request that has been received in part counts, unless it is ignored,
         and so does a response that the caller has not taken yet.
         """
-        if self.receiving and not self.input_ended:
+        if (self.receiving or self.rest) and not self.input_ended:
             return True
         return self.owes_answer
 
@@ -314,6 +370,9 @@
             return
         self.holding.allow_eviction(self.yield_memory)
         self.server.connections.add(self)
+        peer = transport.get_extra_info('peername')
+        if peer:
+            self.work.key = str(peer[0])
         sock = transport.get_extra_info('socket')
         if sock is not None:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
@@ -325,6 +384,9 @@
         if self.linger_timer is not None:
             self.linger_timer.cancel()
         self.holding.release()
+        self.discard_rest()
+        if self.turn is not None:
+            self.turn.cancel()
         self.clear_request()
         self.pending.clear()
         if self.outgoing is not None:
@@ -337,8 +399,13 @@
 
         The caller may have closed the connection, or only its sending side:
         both look the same. As for one that has left, what may be repeated or
-        hasn't run is cancelled, which closes the connection.
+        hasn't run is cancelled, which closes the connection. What has
+        arrived before is parsed, and its first request begins to be handled.
         """
+        if self.rest:
+            self.parse_all()
+            get_running_loop().call_soon(self.end_input)
+            return True
         if not self.owes_answer or self.linger_timer is not None:
             return False
         self.input_closed = True
@@ -349,6 +416,11 @@
             self.on_disconnect()
         return True
 
+    def end_input(self) -> None:
+        """Takes the end of the input, after what arrived before it."""
+        if not self.disconnected and not self.eof_received():
+            self.close()
+
     def __str__(self) -> str:
         """Returns what the connection is for, as written into logs."""
         peer = None
@@ -361,11 +433,15 @@
 
         An idle connection is closed.
         """
-        if self.receiving:
+        if self.receiving or self.rest:
             self.reject(503)
         else:
             self.close()
 
+    def yield_rest(self) -> None:
+        """Rejects the input that waits to be parsed, to make room."""
+        self.reject(503)
+
     def pause_writing(self) -> None:
         """Stops sending until the caller has taken what was sent."""
         if self.outgoing is not None:
@@ -377,12 +453,138 @@
             self.outgoing.resume()
 
     def data_received(self, data: bytes) -> None:
-        """Takes input; an error in that leaves the requests before it alone.
+        """Takes input: parses little at once, and much of it in slices."""
+        server = self.server
+        if self.input_ended or server.ended:
+            self.charge(DISCARDED_READ_S)
+            return
+        if self.rest or len(data) > server.slice_bytes:
+            self.keep(data)
+            if self.turn is None:
+                self.parse_rest()
+            return
+        started_s = server.work_clock()
+        self.feed(data)
+        self.charge(server.work_clock() - started_s)
 
-        Without the guard, the event loop would close the connection at once.
+    def keep(self, data: bytes) -> None:
+        """Keeps input until it is parsed; rejects it if there is no memory.
+
+        Args:
+            data: The input.
+        """
+        rest = self.rest + data if self.rest else data
+        if not self.rest_holding.resize(len(rest)):
+            self.reject(503)
+            return
+        if self.input_ended:
+            # Its own request has made room.
+            self.rest_holding.release()
+            return
+        self.rest = rest
+        self.rest_holding.allow_eviction(self.yield_rest)
+        if len(rest) > READ_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
+    def parse_rest(self) -> None:
+        """Parses input for a part of a turn, and plans to go on with the rest.
+
+        The first large input of a caller that takes much waits for its turn,
+        or a caller would get more with each new connection.
+        """
+        self.turn = None
+        self.paused = False
+        server = self.server
+        if self.rest and not self.shown:
+            self.shown = True
+            pause_s = self.work.reserve(server.turn_s, server.clock())
+            if pause_s:
+                self.phase_started_at += pause_s
+                self.pause(pause_s)
+                return
+        size = server.slice_bytes
+        cost_s = 0.0
+        while self.parses and not self.paused and cost_s < server.turn_s:
+            slice_s = self.parse_slice(size)
+            cost_s += slice_s
+            size *= 2 if slice_s < CHEAP_SLICE_S else 1
+            size = min(size, MAX_SLICE_BYTES)
+        self.charge(cost_s)
+        if self.parses and self.turn is None:
+            self.turn = get_running_loop().call_soon(self.parse_rest)
+        elif not self.rest:
+            self.resume_reading()
+
+    def parse_slice(self, size: int) -> float:
+        """Parses a part of the rest and returns the processor time it took.
+
+        Args:
+            size: Its size in bytes.
+        """
+        started_s = self.server.work_clock()
+        data, self.rest = self.rest[:size], self.rest[size:]
+        self.rest_holding.resize(len(self.rest))
+        # A request that is complete would be rejected for what follows it.
+        self.rest_holding.forbid_eviction()
+        self.feed(data)
+        if self.input_ended or not self.rest:
+            self.discard_rest()
+        else:
+            self.rest_holding.allow_eviction(self.yield_rest)
+        return self.server.work_clock() - started_s
+
+    def parse_all(self) -> None:
+        """Parses the rest at once, as no later turn may come."""
+        while self.rest:
+            self.parse_slice(MAX_SLICE_BYTES)
+
+    @property
+    def parses(self) -> bool:
+        """Whether there is input that is to be parsed now."""
+        if not self.rest or self.disconnected or self.transport is None:
+            return False
+        if self.transport.is_closing():
+            return False
+        return len(self.pending) < MAX_PIPELINED
+
+    def discard_rest(self) -> None:
+        """Drops the input that waits to be parsed."""
+        self.rest = b''
+        self.rest_holding.release()
+
+    def charge(self, cost_s: float) -> None:
+        """Counts processor time of input; pauses if that was too much.
+
+        No timeout counts the pause.
+
+        Args:
+            cost_s: The processor time, in seconds.
         """
-        if self.input_ended or self.server.ended:
+        pause_s = self.work.charge(cost_s, self.server.clock())
+        if pause_s and not self.paused:
+            self.phase_started_at += pause_s
+            self.pause(pause_s)
+
+    def pause(self, pause_s: float) -> None:
+        """Reads and parses nothing for a time.
+
+        Args:
+            pause_s: The time in seconds.
+        """
+        if self.transport is None or self.disconnected or self.paused:
             return
+        if self.turn is not None:
+            self.turn.cancel()
+        self.paused = True
+        self.transport.pause_reading()
+        loop = get_running_loop()
+        self.turn = loop.call_later(pause_s, self.parse_rest)
+
+    def feed(self, data: bytes) -> None:
+        """Parses input; an error in that leaves the requests before it alone.
+
+        Without the guard, the event loop would close the connection at once.
+        """
         try:
             self.receive(data)
         except Exception:
@@ -463,15 +665,18 @@
     def pace(self) -> None:
         """Pauses reading after many small chunks."""
         pause_s = self.pacer.take_pause_s()
-        if pause_s and self.transport is not None:
-            self.transport.pause_reading()
-            get_running_loop().call_later(pause_s, self.resume_reading)
+        if pause_s:
+            self.pause(pause_s)
 
     def resume_reading(self) -> None:
         """Reads on, unless enough requests wait or the connection is lost."""
-        if self.transport is None or self.disconnected:
+        if self.transport is None or self.disconnected or self.paused:
             return
-        if len(self.pending) < MAX_PIPELINED:
+        if self.rest:
+            # A request is given no task while that of another ends.
+            if self.turn is None:
+                self.turn = get_running_loop().call_soon(self.parse_rest)
+        elif len(self.pending) < MAX_PIPELINED:
             self.transport.resume_reading()
 
     def hold_request(self) -> None:
@@ -582,6 +787,8 @@
         self.input_ended = not keep_alive
         self.receiving = False
         self.request_number += 1
+        if self.task is not None:
+            self.charge(PIPELINED_S)
         self.pending.append(request)
         if len(self.pending) >= MAX_PIPELINED and self.transport:
             self.transport.pause_reading()
@@ -615,6 +822,8 @@
                 if response is None:
                     self.close()
                     return
+                if self.server.closing:
+                    self.parse_all()
                 close = self.closes_next
                 if close:
                     self.input_ended = True
@@ -733,6 +942,8 @@
         """
         if self.input_ended:
             return
+        self.work.charge_all(self.server.clock())
+        self.discard_rest()
         self.clear_request()
         self.input_ended = True
         self.receiving = False
@@ -761,9 +972,10 @@
             self.close()
             return
         self.input_ended = True
+        self.discard_rest()
         self.clear_request()
         self.holding.resize(CONNECTION_BYTES)
-        self.transport.resume_reading()
+        self.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
         loop = get_running_loop()
@@ -832,5 +1044,6 @@
 
     def close(self) -> None:
         """Closes the connection after buffered data is sent."""
+        self.discard_rest()
         if self.transport is not None:
             self.transport.close()
--- a/cowslipmill/runtime/tests/test_workshare.py
+++ b/cowslipmill/runtime/tests/test_workshare.py
@@ -98,6 +98,15 @@
     assert_that(shares.charge('one', READ_S, 1.0), GreaterThan(0.0))
 
 
+def test_new_connections_of_a_heavy_peer_wait_one_after_the_other() -> None:
+    """Guards against waits that end all at once."""
+    shares = WorkShares('callers')
+    assert_that(shares.reserve('one', READ_S, 0.0), Equals(0.0))
+    shares.charge('one', 2 * BURST_S, 0.0)
+    waits = [shares.reserve('one', READ_S, 0.0) for _ in range(10)]
+    assert_that(len({round(wait_s, 6) for wait_s in waits}), Equals(10))
+
+
 def test_a_peer_that_stops_is_free_and_forgotten() -> None:
     """Guards against pauses and memory that outlast their cause."""
     shares = WorkShares('callers')
--- a/cowslipmill/runtime/workshare.py
+++ b/cowslipmill/runtime/workshare.py
@@ -13,13 +13,15 @@
 LOG = getLogger(__name__)
 
 # Processor time that a peer may take at once, in seconds, and for each second.
-BURST_S = 0.010
+BURST_S = 0.020
 FREE_RATE = 0.005
 # Processor time for each second that all heavy peers of a direction take
 # together.
 HEAVY_RATE = 0.15
 # Time for which a peer counts as heavy after its last pause has ended.
 HEAVY_HOLD_S = 1.0
+# Shortest pause: to stop and go on takes time as well.
+MIN_PAUSE_S = 0.010
 # Longest pause; a peer that is paused that long isn't charged for more.
 MAX_PAUSE_S = 10.0
 # Peers counted apart; further ones are counted together, under one name.
@@ -130,10 +132,29 @@
         rate = self.rate_of(key)
         peer.level_s = min(peer.level_s, BURST_S + MAX_PAUSE_S * rate)
         pause_s = (peer.level_s - BURST_S) / rate
+        if pause_s < MIN_PAUSE_S:
+            peer.heavy_until = now + HEAVY_HOLD_S
+            return 0.0
         peer.heavy_until = now + pause_s + HEAVY_HOLD_S
         self.report(key, peer, pause_s, now)
         return pause_s
 
+    def reserve(self, key: str, cost_s: float, now: float) -> float:
+        """Returns for how long a heavy peer's next input is to wait.
+
+        What it will take is counted before, so that connections which wait
+        for the same peer go on one after the other.
+
+        Args:
+            key: Name of the peer.
+            cost_s: Processor time that it may take, in seconds.
+            now: Monotonic seconds.
+
+        Returns:
+            Seconds; 0.0 for a peer that isn't heavy.
+        """
+        return self.charge(key, cost_s, now) if key in self.heavy else 0.0
+
     def rate_of(self, key: str) -> float:
         """Returns the processor time that a peer may take each second."""
         if key in self.heavy:
@@ -204,9 +225,10 @@
         key: Name of its peer.
         level_s: Seconds that the connection's rate hasn't made up for.
         counted_at: Monotonic seconds of that.
+        burst_s: Seconds that it may take at once.
     """
 
-    __slots__ = ('counted_at', 'key', 'level_s', 'shares')
+    __slots__ = ('burst_s', 'counted_at', 'key', 'level_s', 'shares')
 
     def __init__(self, shares: WorkShares, key: str) -> None:
         """Starts without work."""
@@ -214,6 +236,7 @@
         self.key = key
         self.level_s = 0.0
         self.counted_at = 0.0
+        self.burst_s = CONNECTION_BURST_S
 
     def charge(self, cost_s: float, now: float) -> float:
         """Counts processor time and returns for how long to read nothing.
@@ -230,14 +253,23 @@
         level_s = cost_s
         if made_up_s < self.level_s:
             level_s += self.level_s - made_up_s
-        if level_s <= CONNECTION_BURST_S:
+        if level_s <= self.burst_s:
             self.level_s = level_s
             return 0.0
-        self.level_s = CONNECTION_BURST_S
-        return self.shares.charge(self.key, level_s - CONNECTION_BURST_S, now)
+        self.level_s = self.burst_s
+        return self.shares.charge(self.key, level_s - self.burst_s, now)
+
+    def reserve(self, cost_s: float, now: float) -> float:
+        """Returns for how long input is to wait if its peer is heavy.
+
+        Args:
+            cost_s: Processor time that it may take, in seconds.
+            now: Monotonic seconds.
+        """
+        return self.shares.reserve(self.key, cost_s, now)
 
     def charge_all(self, now: float) -> None:
-        """Charges the peer also for what was free, as input is rejected.
+        """Charges the peer also for what is free, as input is rejected.
 
         Otherwise a caller would have that time anew with each connection.
 
@@ -246,3 +278,4 @@
         """
         self.shares.charge(self.key, self.level_s, now)
         self.level_s = 0.0
+        self.burst_s = 0.0
