Measure sound callers beside callers and servers that flood

Callers saw up to most of their requests unserved while a few callers or one server of five sent without end, and no measurement of ours showed it: memory is measured, processor time isn't.

--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -110,6 +110,7 @@
         b'1\r\na\r\n0\r\n',
         b'ab:cd\r\n' * 1_024,
     )
+    INTERIM = (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 1_024)
     TRICKLING_HEAD = (b'HTTP/1.1 200 OK\r\nx-long: ', b'x')
     TRICKLING_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'x')
 
--- a/cowslipmill/standin/main.py
+++ b/cowslipmill/standin/main.py
@@ -7,6 +7,8 @@
 from cowslipmill.runtime.program import run_program
 from cowslipmill.runtime.program import run_service
 from cowslipmill.standin.collector import StandinCollector
+from cowslipmill.standin.floods import FloodingCallers
+from cowslipmill.standin.floods import FloodingServer
 from cowslipmill.standin.occupancy import Occupancy
 from cowslipmill.standin.passthrough import StandinPassthrough
 from cowslipmill.standin.platform import StandinPlatform
@@ -40,6 +42,12 @@
             )
         for server in self.settings.servers:
             await self.add_runtime_dependency(StandinServer(server, occupancy))
+        for flooding in self.settings.flooding_servers:
+            await self.add_runtime_dependency(FloodingServer(flooding))
+        if self.settings.flooding_callers is not None:
+            await self.add_runtime_dependency(
+                FloodingCallers(self.settings.flooding_callers)
+            )
 
 
 def main(arguments: list[str]) -> int:
--- a/cowslipmill/standin/settings.py
+++ b/cowslipmill/standin/settings.py
@@ -39,6 +39,38 @@
     targets: Annotated[tuple[Address, ...], Meta(min_length=1)]
 
 
+class FloodingCallersSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Callers that send without end.
+
+    `stream` names a `CallerStream`; `target` and `host` are the path and the
+    Host header of their requests.
+    """
+
+    address: Address
+    stream: str
+    target: str
+    host: str
+    count: Annotated[int, Meta(ge=1)] = 24
+
+
+class FloodingServerSettings(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """A server of the platform that may flood hosts with its answers.
+
+    `flood` names a `Stream`, or is `LARGE` for large bodies; if it is empty,
+    the server answers as it should.
+    """
+
+    name: Name
+    address: Address
+    flood: str = ''
+    slots: Annotated[int, Meta(ge=1)] = 16
+    work_ms: Annotated[float, Meta(ge=0.0)] = 10.0
+
+
 class StandinSettings(
     Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -49,3 +81,5 @@
     collector: Address | None = None
     passthrough: PassthroughSettings | None = None
     servers: tuple[ServerSettings, ...] = ()
+    flooding_callers: FloodingCallersSettings | None = None
+    flooding_servers: tuple[FloodingServerSettings, ...] = ()
