Read less from servers whose responses take much processor time

Callers saw that one server of five whose responses go on without end, in chunks of two bytes or in fields after the body, held up the requests at all other servers: such a response was read up to the largest size of a body, 8 MiB or a million chunks, before it was given up.

Cause: a response was bounded by its bytes only, and read in as fast as it came, whatever that took.

Evidence: http1/tests/test_costlyresponses.py fails on: a response of framing alone was given up after 8.5 MB.

Change: the framing of a response may take 128 KiB and as many bytes as its body has. What reading responses takes is counted for each server (WorkShares, direction `servers`): from one that takes much, 8 KiB are read at a time, with pauses between, only while a response is open. A paused connection isn't used for a request.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -5,12 +5,14 @@
 from asyncio import get_running_loop
 from asyncio import Protocol
 from asyncio import timeout
+from asyncio import TimerHandle
 from asyncio import Transport
 from logging import getLogger
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
 from sys import maxsize
+from time import thread_time
 from typing import cast
 
 from httptools import HttpParserCallbackError
@@ -28,6 +30,9 @@
 from cowslipmill.memory.budget import Holding
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.runtime.readsize import limit_read_size
+from cowslipmill.runtime.readsize import READ_BYTES
+from cowslipmill.runtime.workshare import ConnectionWork
+from cowslipmill.runtime.workshare import WorkShares
 
 LOG = getLogger(__name__)
 
@@ -45,6 +50,13 @@
 # Limit of what comes before the headers of a response are complete, interim
 # responses included.
 MAX_HEAD_BYTES = 131_072
+# Limit of the framing of a response beside as many bytes as its body has:
+# the head, chunk sizes and extensions, fields after the body. Chunks of five
+# bytes or more keep within it, whatever the size of the body.
+MAX_FRAMING_BYTES = MAX_HEAD_BYTES
+# Read at a time from a server whose responses take much processor time, about
+# 0.5 ms of it.
+SMALL_READ_BYTES = 8_192
 # Limit of the surplus responses that are skipped during one exchange.
 MAX_SKIPPED_BYTES = 1_048_576
 # Memory that the headers of a response may take.
@@ -119,12 +131,17 @@
         memory: The budget of all connections to servers.
         holding: The memory that this one holds; a complete response has its
             own.
+        shares: The processor time that responses of each server take; None
+            if it isn't counted.
+        work: The same for this connection.
+        resume_timer: Ends a pause in reading; None while there is none.
     """
 
     def __init__(
         self,
         request_id_header: bytes = b'',
         memory: MemoryBudget | None = None,
+        shares: WorkShares | None = None,
     ) -> None:
         """Starts unconnected; `connection_made` sets the transport.
 
@@ -133,10 +150,15 @@
                 empty if they don't.
             memory: The budget of all connections to servers; None for no
                 limit.
+            shares: The processor time of all connections to servers; None if
+                it isn't counted.
         """
         self.request_id_header = request_id_header
         self.memory = memory or MemoryBudget('unlimited', maxsize)
         self.holding = Holding(self.memory, self)
+        self.shares = shares
+        self.work: ConnectionWork | None = None
+        self.resume_timer: TimerHandle | None = None
         self.transport: Transport | None = None
         self.outgoing: OutgoingData | None = None
         self.pending_response: Future[Response] | None = None
@@ -167,6 +189,7 @@
         return (
             self.reusable
             and self.pending_response is None
+            and self.resume_timer is None
             and self.transport is not None
             and not self.transport.is_closing()
         )
@@ -188,6 +211,9 @@
             self.close()
             return
         self.holding.allow_eviction(self.yield_memory)
+        if self.shares is not None:
+            self.work = ConnectionWork(self.shares, self.server_address)
+            self.choose_read_size()
 
     def set_user_timeout(self, timeout_ms: int) -> None:
         """Sets the TCP user timeout, if it isn't set yet.
@@ -204,11 +230,16 @@
 
     def __str__(self) -> str:
         """Returns what the connection is for, as written into logs."""
+        request_id = self.request_id.decode('latin-1')
+        return f'response to {request_id} of {self.server_address}'
+
+    @property
+    def server_address(self) -> str:
+        """IP address and port of the server, as written into logs."""
         peer = None
         if self.transport is not None:
             peer = self.transport.get_extra_info('peername')
-        address = ':'.join(map(str, peer[:2])) if peer else 'unknown'
-        return f'response to {self.request_id.decode("latin-1")} of {address}'
+        return ':'.join(map(str, peer[:2])) if peer else 'unknown'
 
     def yield_memory(self) -> None:
         """Gives up the response, or the idle connection, to make room."""
@@ -233,6 +264,7 @@
         if self.pending_response is None:
             self.close()
             return
+        started_s = thread_time()
         try:
             self.receive(data)
         except Exception as error:
@@ -241,6 +273,44 @@
                 extra={'connection': str(self)},
             )
             self.fail(f'internal error: {error}', reset=False)
+        if self.work is not None:
+            self.charge(self.work, thread_time() - started_s)
+
+    def charge(self, work: ConnectionWork, cost_s: float) -> None:
+        """Counts processor time; reads less from a server that takes much.
+
+        The pause is only for a response that goes on: an idle connection has
+        to notice when its server closes it.
+
+        Args:
+            work: What the connection has taken.
+            cost_s: Processor time of the input, in seconds.
+        """
+        loop = get_running_loop()
+        pause_s = work.charge(cost_s, loop.time())
+        if not pause_s or self.pending_response is None:
+            return
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.choose_read_size()
+        self.transport.pause_reading()
+        self.resume_timer = loop.call_later(pause_s, self.resume_reading)
+
+    def resume_reading(self) -> None:
+        """Ends a pause in reading."""
+        self.resume_timer = None
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def choose_read_size(self) -> None:
+        """Reads less at a time from a server that takes much."""
+        transport = self.transport
+        if self.work is None or transport is None:
+            return
+        if not hasattr(transport, 'max_size'):
+            return
+        is_heavy = self.work.key in self.work.shares.heavy
+        transport.max_size = SMALL_READ_BYTES if is_heavy else READ_BYTES
 
     def receive(self, data: bytes) -> None:
         """Feeds the parser; fails the open request if it can't be read."""
@@ -262,7 +332,7 @@
             return
         max_bytes = MAX_HEAD_BYTES
         if self.headers_complete and self.is_final:
-            max_bytes = MAX_HEAD_BYTES + MAX_RESPONSE_BYTES
+            max_bytes = MAX_FRAMING_BYTES + 2 * len(self.body.data)
         if self.received_bytes > max_bytes:
             self.fail_with(ResponseTooLarge())
             return
@@ -425,6 +495,9 @@
     def close(self) -> None:
         """Closes the connection at once; unsent data is discarded."""
         self.reusable = False
+        if self.resume_timer is not None:
+            self.resume_timer.cancel()
+            self.resume_timer = None
         self.holding.release()
         self.clear_response()
         if self.transport is not None:
@@ -460,6 +533,7 @@
         if self.request_id_header:
             self.request_id = request.header(self.request_id_header)
         long = len(request.body) > MIN_WINDOW_BYTES
+        self.choose_read_size()
         self.set_user_timeout(NO_USER_TIMEOUT_MS if long else USER_TIMEOUT_MS)
         outgoing.write(encode_request_head(request), request.body, request)
         timer = None
@@ -489,6 +563,7 @@
     *,
     source_ip: str = '',
     memory: MemoryBudget | None = None,
+    shares: WorkShares | None = None,
 ) -> ServerConnection:
     """Opens a connection to a server.
 
@@ -499,6 +574,8 @@
             empty if they don't.
         source_ip: Local IP address; empty if the system chooses it.
         memory: The budget of all connections to servers; None for no limit.
+        shares: The processor time of all connections to servers; None if it
+            isn't counted.
 
     Raises:
         ConnectFailed: If the connection isn't established in time.
@@ -508,7 +585,7 @@
     try:
         async with timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ServerConnection(request_id_header, memory),
+                lambda: ServerConnection(request_id_header, memory, shares),
                 *address,
                 local_addr=local_address,
             )
@@ -525,9 +602,10 @@
         source_ip: Local IP address of the connections; empty if the system
             chooses it.
         memory: The budget of all connections to servers; None for no limit.
+        shares: The processor time that their responses take.
     """
 
-    __slots__ = ('memory', 'source_ip')
+    __slots__ = ('memory', 'shares', 'source_ip')
 
     def __init__(
         self, source_ip: str = '', memory: MemoryBudget | None = None
@@ -535,6 +613,7 @@
         """Stores the local IP address and the budget."""
         self.source_ip = source_ip
         self.memory = memory
+        self.shares = WorkShares('servers')
 
     async def open(
         self,
@@ -549,4 +628,5 @@
             request_id_header,
             source_ip=self.source_ip,
             memory=self.memory,
+            shares=self.shares,
         )
