Release the lease of a request that ends at any moment

Callers saw: nothing at once. A slot of a server counted as taken until 1 s after the deadline of a request that had ended, so that later ones waited or were refused.

Cause: a lease had no owner at these moments, all of one class. - An error or cancellation between the grant and the send (rate limits, pauses, the trial of a suspect request, the log, the time of the hedge). - A cancellation in the turn of the event loop in which the coordinator decides: the grant was in the future that the cancelled request no longer read. - A request for a lease and its cancellation in one batch between hosts: the cancellation was handled before the call had begun, and the lease granted after. - A grant of another failure domain's coordinator that crosses the cancellation: the coordinator that was asked releases only its own. - An error while a host in another failure domain is asked for a lease.

Evidence: host/tests/test_leases.py ends a request at each of its awaits, by cancellation and by an error, before and after what is awaited is there; for sends, hedges, retries, another host's coordinator and relays.

Change: what isn't sent is released in one place; the coordinator releases a decision that nobody took; cancellations are handled one turn later; a reply to a cancelled call is awaited for 0.25 s more and a lease of another coordinator in it is released.

Result: 64 of 64 pass, and 4 in test_leaseclient.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -342,28 +342,29 @@
             if isinstance(grant, Refusal):
                 self.request_log.not_placed(context, grant)
                 return grant
-            if self.lease_manager.ignores_limit(grant):
-                limits_ignored += 1
-                self.lease_manager.release(
-                    context.service, grant, LeaseResult.UNUSED, 0.0
-                )
-                if limits_ignored > MAX_LIMITS_IGNORED:
+            used = False
+            try:
+                if self.lease_manager.ignores_limit(grant):
+                    limits_ignored += 1
+                    if limits_ignored > MAX_LIMITS_IGNORED:
+                        context.attempts.excluded.append(grant.server)
+                elif not self.sender.accepts_requests(grant):
                     context.attempts.excluded.append(grant.server)
-                continue
-            accepted = self.sender.accepts_requests(grant)
-            if accepted and await self.may_send(context):
-                self.request_log.placed(context, grant)
-                return grant
-            self.lease_manager.release(
-                context.service, grant, LeaseResult.UNUSED, 0.0
-            )
-            if accepted:
-                retry_after_s = max(
-                    self.crash_tracker.retry_after_s(context.fingerprints),
-                    NO_TRIAL_RETRY_AFTER_S,
-                )
-                return Refusal(grant.key, 'suspect', retry_after_s, 0)
-            context.attempts.excluded.append(grant.server)
+                elif await self.may_send(context):
+                    self.request_log.placed(context, grant)
+                    used = True
+                    return grant
+                else:
+                    retry_after_s = max(
+                        self.crash_tracker.retry_after_s(context.fingerprints),
+                        NO_TRIAL_RETRY_AFTER_S,
+                    )
+                    return Refusal(grant.key, 'suspect', retry_after_s, 0)
+            finally:
+                if not used:
+                    self.lease_manager.release(
+                        context.service, grant, LeaseResult.UNUSED, 0.0
+                    )
 
     async def outwait_pauses(
         self, context: RequestContext, *, may_wait: bool
@@ -484,10 +485,18 @@
         """
         if not context.route.idempotent:
             return await self.sender.send(context, grant)
+        try:
+            hedge_delay_s = self.hedge_at(context, grant) - self.clock()
+        except BaseException:
+            self.lease_manager.release(
+                context.service, grant, LeaseResult.UNUSED, 0.0
+            )
+            raise
+        # Until the first await nothing may fail: a task that is cancelled
+        # before it begins releases no lease.
         first = create_task(self.sender.send(context, grant))
         tasks: set[Task[SendResult]] = {first}
         try:
-            hedge_delay_s = self.hedge_at(context, grant) - self.clock()
             await wait(tasks, timeout=max(0.0, hedge_delay_s))
             if not first.done() and context.attempts.may_hedge():
                 remaining_s = context.deadline_at - self.clock()
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -80,27 +80,28 @@
 
     async def send(self, context: RequestContext, grant: Grant) -> SendResult:
         """Makes one attempt to send a request and releases the lease."""
-        server = self.direct.find_server(grant)
-        if server is None:
-            self.release(context, grant, LeaseResult.UNREACHABLE, 0.0)
-            return NotSent(grant.server, 'the server has left')
-        attempt = Attempt(context, grant, server)
+        attempt: Attempt | None = None
         lease_result = LeaseResult.CANCELLED
         try:
+            server = self.direct.find_server(grant)
+            if server is None:
+                lease_result = LeaseResult.UNREACHABLE
+                return NotSent(grant.server, 'the server has left')
+            attempt = Attempt(context, grant, server)
             result = await self.send_to_server(attempt)
             lease_result = lease_result_of(result, grant)
             return result
         except CancelledError:
             # A server without a response at the deadline counts as failed.
-            if self.clock() >= context.deadline_at:
-                path_lost = self.direct.paths.is_lost(server.address)
+            if attempt is not None and self.clock() >= context.deadline_at:
+                path_lost = self.direct.paths.is_lost(attempt.server.address)
                 if attempt.relayed or not path_lost:
                     lease_result = LeaseResult.BROKEN
                 self.report_silence(attempt)
             raise
         finally:
             duration_s = 0.0
-            if attempt.sent_at is not None:
+            if attempt is not None and attempt.sent_at is not None:
                 duration_s = self.clock() - attempt.sent_at
             self.release(context, grant, lease_result, duration_s)
 
--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -44,8 +44,8 @@
         reaches_servers: Tells whether this host reaches any of the servers.
         acquire_from_others: Requests a lease from other failure domains, for
             a server with at most an expected duration in seconds.
-        release_unused: Releases a lease of another failure domain that came
-            too late.
+        release_unused: Releases a lease whose request no longer waits for it,
+            also one of another failure domain.
         health_path: Path at which its servers report their load.
         waiters: Decisions that queued requests wait for, by lease key.
         wake: Set when there is something new to decide on.
@@ -85,6 +85,13 @@
         self.start()
         try:
             return await waiter
+        except BaseException:
+            # The decision may have come before the cancellation took effect.
+            if waiter.done() and not waiter.cancelled():
+                decision = waiter.result()
+                if isinstance(decision, Grant):
+                    self.release_unused(request, decision)
+            raise
         finally:
             self.waiters.pop(request.key, None)
             self.scheduler.cancel(request.key)
--- a/cowslipmill/leasing/leaseclient.py
+++ b/cowslipmill/leasing/leaseclient.py
@@ -1,9 +1,11 @@
 """Requests leases from coordinators on other hosts."""
 
 from asyncio import create_task
+from asyncio import get_running_loop
 from asyncio import Task
 from asyncio import wait
 from collections.abc import Callable
+from functools import partial
 from logging import getLogger
 
 from msgspec.structs import replace
@@ -30,6 +32,9 @@
 PING_TIMEOUT_S = 0.06
 # Timeout of a request to a coordinator in another failure domain.
 REMOTE_TIMEOUT_S = 0.05
+# How long a reply to a cancelled request may still come, several round trips
+# between failure domains.
+LATE_REPLY_S = 0.25
 
 Reply = Grant | Refusal
 
@@ -41,17 +46,24 @@
         clock: Returns monotonic seconds.
         member_list: The hosts known.
         rpc: Calls between hosts.
+        release_late: Releases a lease of a service whose grant came after its
+            request had ended.
     """
 
-    __slots__ = ('clock', 'member_list', 'rpc')
+    __slots__ = ('clock', 'member_list', 'release_late', 'rpc')
 
     def __init__(
-        self, member_list: MemberList, rpc: Rpc, clock: Callable[[], float]
+        self,
+        member_list: MemberList,
+        rpc: Rpc,
+        clock: Callable[[], float],
+        release_late: Callable[[str, Grant], None],
     ) -> None:
         """Creates a client for the hosts of a member list."""
         self.member_list = member_list
         self.rpc = rpc
         self.clock = clock
+        self.release_late = release_late
 
     async def acquire(
         self,
@@ -83,22 +95,18 @@
             self.rpc.call(coordinator.address, message, timeout_s)
         )
         try:
-            while True:
-                done = await self.wait_for_reply(call)
-                if done:
-                    break
+            while not await self.wait_for_reply(call):
                 pong = await self.rpc.call(
                     coordinator.address, Ping(), PING_TIMEOUT_S
                 )
                 if isinstance(pong, Unreachable) and not call.done():
                     break
+            reply = call.result() if call.done() else None
         except BaseException:
             self.cancel(call, key, requirements, coordinator, failure_domain)
             raise
-        if call.done():
-            reply = call.result()
-            if isinstance(reply, Grant | Refusal):
-                return with_coordinator(reply, coordinator.address)
+        if isinstance(reply, Grant | Refusal):
+            return with_coordinator(reply, coordinator.address)
         self.cancel(call, key, requirements, coordinator, failure_domain)
         self.member_list.back_off(coordinator.name, self.clock())
         LOG.info(
@@ -120,10 +128,27 @@
         coordinator: Member,
         failure_domain: str,
     ) -> None:
-        """Cancels a call and the lease request at the coordinator."""
-        call.cancel()
+        """Cancels a call and the lease request at the coordinator.
+
+        The coordinator releases a lease of its own. One of another failure
+        domain is released here if its grant comes or has come.
+        """
         message = CancelLease(key, requirements.service, failure_domain)
         self.rpc.send(coordinator, message)
+        call.add_done_callback(
+            partial(self.release_moved, requirements.service)
+        )
+        get_running_loop().call_later(LATE_REPLY_S, call.cancel)
+
+    def release_moved(
+        self, service: str, call: 'Task[Reply | Unreachable]'
+    ) -> None:
+        """Releases a lease of another failure domain that a call got."""
+        if call.cancelled() or call.exception() is not None:
+            return
+        reply = call.result()
+        if isinstance(reply, Grant) and reply.coordinator[0]:
+            self.release_late(service, reply)
 
     def build_message(
         self,
@@ -173,14 +198,19 @@
         """
         now = self.clock()
         message = self.build_message(key, requirements, failure_domain, now)
-        reply = await self.rpc.call(
-            coordinator.address, message, REMOTE_TIMEOUT_S
-        )
+        reply: Reply | Unreachable | None = None
+        try:
+            reply = await self.rpc.call(
+                coordinator.address, message, REMOTE_TIMEOUT_S
+            )
+        finally:
+            if not isinstance(reply, Grant | Refusal):
+                self.rpc.send(
+                    coordinator,
+                    CancelLease(key, requirements.service, failure_domain),
+                )
         if isinstance(reply, Grant | Refusal):
             return with_coordinator(reply, coordinator.address)
-        self.rpc.send(
-            coordinator, CancelLease(key, requirements.service, failure_domain)
-        )
         self.member_list.back_off(coordinator.name, self.clock())
         return None
 
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -1,5 +1,6 @@
 """Acquires and releases leases, on this host or from other hosts."""
 
+from asyncio import sleep
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
@@ -89,7 +90,7 @@
         self.no_path_until: dict[tuple[str, str, str], float] = BoundedDict()
         self.rate_limits: RateLimits = prober.rate_limits
         self.pauses: ServerPauses = prober.pauses
-        self.client = LeaseClient(member_list, rpc, clock)
+        self.client = LeaseClient(member_list, rpc, clock, self.release_late)
         self.clock = clock
         self.random = random
         self.coordinators: dict[tuple[str, str], Coordinator] = {}
@@ -335,9 +336,13 @@
         ).acquire(request)
         if isinstance(reply, Refusal) or reply.coordinator[0]:
             return reply
-        limit = self.rate_limits.report(
-            reply.server, reply.started_ms, self.clock()
-        )
+        try:
+            limit = self.rate_limits.report(
+                reply.server, reply.started_ms, self.clock()
+            )
+        except BaseException:
+            self.release_unused(request, reply)
+            raise
         return replace(reply, limit=limit) if limit else reply
 
     def paused_servers(self, service: str, now: float) -> list[str]:
@@ -454,6 +459,10 @@
             request.requirements.service, grant, LeaseResult.UNUSED, 0.0
         )
 
+    def release_late(self, service: str, grant: Grant) -> None:
+        """Releases a lease whose grant came after its request had ended."""
+        self.release(service, grant, LeaseResult.UNUSED, 0.0)
+
     def release(
         self,
         service: str,
@@ -535,6 +544,9 @@
 
     async def on_cancel_lease(self, message: CancelLease, sender: str) -> None:
         """Cancels a queued request, or releases the lease that it got."""
+        # Calls that arrived together with this message begin in this turn of
+        # the event loop.
+        await sleep(0)
         coordinator = self.coordinator_of(
             message.service, message.failure_domain
         )
