Return an answer while its hedge still waits for a lease

Callers saw: an answer that had come was delivered up to 0.1 s late, when the coordinator that was asked for the hedge's lease didn't reply.

Cause: the lease of a hedge was awaited before the first attempt was looked at.

Evidence: the test of host/tests/test_leases.py, whose hedge waits 0.2 s for its lease, failed before on with ['begun', 'granted'] != ['begun', 'cancelled'].

Change: a hedge acquires its lease and is sent in one task beside the first attempt; it is cancelled when the answer comes, and its lease given back.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -494,24 +494,30 @@
             raise
         # Until the first await nothing may fail: a task that is cancelled
         # before it begins releases no lease.
+        first: Task[SendResult | None]
         first = create_task(self.sender.send(context, grant))
-        tasks: set[Task[SendResult]] = {first}
+        tasks: set[Task[SendResult | None]] = {first}
         try:
             await wait(tasks, timeout=max(0.0, hedge_delay_s))
             if not first.done() and context.attempts.may_hedge():
-                remaining_s = context.deadline_at - self.clock()
-                hedge_grant = await self.acquire_lease(
-                    context, max_duration_s=remaining_s
-                )
-                if isinstance(hedge_grant, Grant):
-                    tasks.add(
-                        create_task(self.sender.send(context, hedge_grant))
-                    )
+                tasks.add(create_task(self.send_hedge(context)))
             return await best_result(tasks)
         finally:
             for task in tasks:
                 task.cancel()
 
+    async def send_hedge(self, context: RequestContext) -> SendResult | None:
+        """Sends a request once more, to a server that may still be in time.
+
+        Returns:
+            The result; None if there is no such server.
+        """
+        remaining_s = context.deadline_at - self.clock()
+        grant = await self.acquire_lease(context, max_duration_s=remaining_s)
+        if isinstance(grant, Refusal):
+            return None
+        return await self.sender.send(context, grant)
+
     def hedge_at(self, context: RequestContext, grant: Grant) -> float:
         """Returns when to hedge a request, in monotonic seconds.
 
@@ -590,9 +596,13 @@
         )
 
 
-async def best_result(tasks: 'set[Task[SendResult]]') -> SendResult:
+async def best_result(
+    tasks: 'set[Task[SendResult | None]]',
+) -> SendResult:
     """Returns the first success, else a response, else any other result.
 
+    At least one of the tasks has a result other than None.
+
     Among the responses, those of class FAILURE are preferred, since the
     server handled the request.
     """
--- a/cowslipmill/forwarding/tests/test_forwarder.py
+++ b/cowslipmill/forwarding/tests/test_forwarder.py
@@ -20,7 +20,9 @@
 LOST = Lost('four', 'connection closed', True)
 
 
-async def return_later(result: SendResult, loop_iterations: int) -> SendResult:
+async def return_later(
+    result: SendResult | None, loop_iterations: int
+) -> SendResult | None:
     for _ in range(loop_iterations):
         await sleep(0)
     return result
@@ -37,10 +39,12 @@
         ([SHED, FAILURE], FAILURE),
         ([FAILURE, SHED], FAILURE),
         ([LOST], LOST),
+        ([LOST, None], LOST),
+        ([None, SHED], SHED),
     ],
 )
 async def test_the_best_result_is_returned(
-    results: list[SendResult], expected: SendResult
+    results: list[SendResult | None], expected: SendResult
 ) -> None:
     tasks = {
         create_task(return_later(result, loop_iterations))
--- a/cowslipmill/host/tests/test_leases.py
+++ b/cowslipmill/host/tests/test_leases.py
@@ -39,7 +39,9 @@
 from cowslipmill.leasing.leasemanager import LeaseManager
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
+from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.ratelimits import RateLimits
+from cowslipmill.leasing.requirements import Requirements
 from cowslipmill.standin.backend import Fault
 
 __all__ = ('partition',)
@@ -373,3 +375,37 @@
     await fleet.send_request(path)
     await sleep(SETTLE_S)
     assert_that(open_leases(fleet), Equals([]))
+
+
+async def test_an_answer_waits_for_no_lease_of_a_hedge(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The lease request of the hedge is cancelled when the answer comes."""
+    for backend in fleet.backends.values():
+        backend.work_s = 0.4
+    acquire = LeaseManager.acquire
+    ends: list[str] = []
+
+    async def wait_for_hedge(
+        manager: LeaseManager, requirements: Requirements
+    ) -> Grant | Refusal:
+        if requirements.max_duration_s is None:
+            return await acquire(manager, requirements)
+        ends.append('begun')
+        try:
+            await sleep(0.2)
+            ends.append('granted')
+        except CancelledError:
+            ends.append('cancelled')
+            raise
+        return await acquire(manager, requirements)
+
+    monkeypatch.setattr(LeaseManager, 'acquire', wait_for_hedge)
+    started_at = fleet.hosts[0].clock()
+    response = await fleet.send_request('/read/1')
+    took_s = fleet.hosts[0].clock() - started_at
+    await sleep(SETTLE_S)
+    assert_that(response.status, Equals(200))
+    assert_that(ends, Equals(['begun', 'cancelled']))
+    assert_that(took_s, LessThan(0.45))
+    assert_that(open_leases(fleet), Equals([]))
