Keep half of the descriptors from callers

Callers saw: 503 for requests on connections that their host had accepted, once connections of callers had taken every descriptor of its process: none was left to reach a server with.

Cause: nothing bounded the connections of callers but memory, and asyncio accepts up to `backlog` connections (1,024) in one turn of the event loop; without a descriptor it tries as often, and logs each.

Evidence: a process with 240 descriptors, 40 connections, 400 idle ones behind them, then a request on each of the 40 (host/tests/test_callergate.py).

Change: a gate before the connections of callers lets in as many as half of the descriptors (RLIMIT_NOFILE as the listener starts) and closes further ones at once, unread, with a line `caller connections at limit` and a counter. 32 connections are accepted in one turn; 1,024 may wait as before. Readiness, metrics and hosts aren't bounded by it.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -1,5 +1,6 @@
 """One host: builds its components, listens, reads the store and drains."""
 
+from asyncio import BaseProtocol
 from asyncio import get_running_loop
 from asyncio import Server
 from asyncio import sleep
@@ -22,6 +23,10 @@
 from cowslipmill.forwarding.idlelimits import IdleLimits
 from cowslipmill.forwarding.retrybudgets import RetryBudgets
 from cowslipmill.forwarding.sender import Sender
+from cowslipmill.host.callergate import ACCEPTS_PER_TURN
+from cowslipmill.host.callergate import CallerGate
+from cowslipmill.host.callergate import max_caller_connections
+from cowslipmill.host.callergate import set_backlog
 from cowslipmill.host.requestlog import RequestLog
 from cowslipmill.host.requestlog import to_milliseconds
 from cowslipmill.host.settings import Address
@@ -302,8 +307,10 @@
         Raises:
             ListenError: If the address cannot be listened on.
         """
-        servers = {
-            'callers_listen': self.callers,
+        servers: dict[str, Callable[[], BaseProtocol]] = {
+            'callers_listen': CallerGate(
+                self.callers, max_caller_connections()
+            ),
             'readiness_listen': self.make_internal_server(
                 self.handle_readiness
             ),
@@ -312,8 +319,9 @@
         loop = get_running_loop()
         try:
             listener = await loop.create_server(
-                servers[field], *address, backlog=BACKLOG
+                servers[field], *address, backlog=ACCEPTS_PER_TURN
             )
+            set_backlog(listener, BACKLOG)
         except OSError as error:
             text = f'{address[0]}:{address[1]}'
             raise ListenError(field, text, error) from error
