Send a long message over several turns of the event loop

Callers whose requests came while a response of some megabytes was passed on waited until the system had taken all that it takes at once, some megabytes.

Cause: pieces of 64 KiB were handed to the transport until it asked for a pause, in one go.

Evidence: http1/tests/test_outgoing.py fails on: 7.3 MB in one turn.

Change: 256 KiB in each turn, then others are served first.

--- a/cowslipmill/http1/outgoing.py
+++ b/cowslipmill/http1/outgoing.py
@@ -2,6 +2,7 @@
 
 from asyncio import Future
 from asyncio import get_running_loop
+from asyncio import Handle
 from asyncio import Transport
 from collections import deque
 from fcntl import ioctl
@@ -13,6 +14,9 @@
 # A transport copies what the other side has not taken yet, so that long data
 # is handed to it in pieces.
 PIECE_BYTES = 65_536
+# Most that a transport is handed before others have their turn, unless it
+# asks for more: the system takes some megabytes at once.
+TURN_BYTES = 4 * PIECE_BYTES
 C_INT = Struct('i')
 
 
@@ -25,9 +29,10 @@
             that it belongs to, which is kept as long.
         paused: Whether the transport takes no more for now.
         drained: Completes when the transport has taken everything.
+        turn: The next turn of sending; None if there is none.
     """
 
-    __slots__ = ('drained', 'paused', 'transport', 'waiting')
+    __slots__ = ('drained', 'paused', 'transport', 'turn', 'waiting')
 
     def __init__(self, transport: Transport) -> None:
         """Starts without data."""
@@ -35,6 +40,7 @@
         self.waiting: deque[tuple[memoryview, object]] = deque()
         self.paused = False
         self.drained: Future[None] | None = None
+        self.turn: Handle | None = None
 
     @property
     def size(self) -> int:
@@ -73,15 +79,32 @@
         self.waiting.append((memoryview(head), owner))
         if body:
             self.waiting.append((memoryview(body), owner))
-        self.send_waiting()
+        if self.turn is None:
+            self.send_waiting()
 
     def send_waiting(self) -> None:
-        """Hands data to the transport until it takes no more."""
+        """Hands data to the transport until it takes no more.
+
+        Beyond `TURN_BYTES`, it goes on after the event loop has served
+        others.
+        """
+        self.turn = None
+        sent = 0
         while self.waiting and not self.paused:
+            if sent >= TURN_BYTES:
+                self.turn = get_running_loop().call_soon(self.send_on)
+                return
             data, owner = self.waiting.popleft()
             if len(data) > PIECE_BYTES:
                 self.waiting.appendleft((data[PIECE_BYTES:], owner))
             self.transport.write(data[:PIECE_BYTES])
+            sent += min(len(data), PIECE_BYTES)
+
+    def send_on(self) -> None:
+        """Goes on sending in another turn of the event loop."""
+        self.send_waiting()
+        if self.empty:
+            self.report_drained()
 
     def pause(self) -> None:
         """Stops until `resume`, as the transport's buffer is full."""
@@ -90,9 +113,8 @@
     def resume(self) -> None:
         """Goes on, as the transport's buffer has room."""
         self.paused = False
-        self.send_waiting()
-        if not self.paused:
-            self.report_drained()
+        if self.turn is None:
+            self.send_on()
 
     def discard(self) -> None:
         """Drops all data, as the connection is lost."""
