Give up framing sooner, and let plain bodies pass unpaused

Callers whose requests went to a server that answers in chunks of two bytes waited some 500 ms for another try, p99, though few others were held up any more.

Cause: 128 KiB of framing beside the body are 43,000 such chunks, 15 ms, and most of the pauses came before they were over. And a plain body was charged for being copied: responses of 7 MB, of which memory holds three, were held longer by pauses.

Change: framing may take 16 KiB and 1.5 times the body, beside the headers: chunks of four bytes or more pass at any size, chunks of two bytes up to 8,200 of them. 1.5 ns of processor time for each byte aren't counted. How much is read at a time follows what the last read took. Input of up to 1 KiB isn't measured, as measuring takes 10 us here, longer than most of its parsing.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -50,13 +50,23 @@
 # Limit of what comes before the headers of a response are complete, interim
 # responses included.
 MAX_HEAD_BYTES = 131_072
-# Limit of the framing of a response beside as many bytes as its body has:
-# the head, chunk sizes and extensions, fields after the body. Chunks of five
-# bytes or more keep within it, whatever the size of the body.
-MAX_FRAMING_BYTES = MAX_HEAD_BYTES
+# Limit of the framing of a response beyond its headers and a share of its
+# body: chunk sizes and extensions, fields after the body.
+MAX_FRAMING_BYTES = 16_384
+# Bytes of framing allowed for each byte of a body. Chunks of four bytes or
+# more keep within it, whatever the size of the body.
+FRAMING_SHARE = 1.5
 # Read at a time from a server whose responses take much processor time, about
 # 0.5 ms of it.
 SMALL_READ_BYTES = 8_192
+# Processor time of one read from which on less is read at a time, in seconds.
+# A read of 64 KiB of a plain body takes some 0.05 ms.
+MAX_READ_COST_S = 0.000_2
+# Processor time that each byte may take without being counted, in seconds:
+# that of copying a plain body, twice.
+PLAIN_BYTE_S = 1.5e-9
+# Shorter input isn't measured: that takes longer than parsing it.
+UNMEASURED_BYTES = 1_024
 # Limit of the surplus responses that are skipped during one exchange.
 MAX_SKIPPED_BYTES = 1_048_576
 # Memory that the headers of a response may take.
@@ -125,6 +135,7 @@
             surplus responses that were skipped.
         reusable: Whether the connection may carry further requests.
         skipped_bytes: Bytes of surplus responses since then.
+        interim_bytes: Memory of the headers of interim responses since then.
         has_framing: Whether the response's headers tell where its body ends;
             otherwise it ends with the connection.
         headers_complete: Whether the response's headers have been received.
@@ -169,6 +180,7 @@
         self.response_started = False
         self.received_bytes = 0
         self.skipped_bytes = 0
+        self.interim_bytes = 0
         self.idle_deadline = 0.0
         self.reusable = True
         self.parser = HttpResponseParser(self)
@@ -213,7 +225,7 @@
         self.holding.allow_eviction(self.yield_memory)
         if self.shares is not None:
             self.work = ConnectionWork(self.shares, self.server_address)
-            self.choose_read_size()
+            self.choose_read_size(self.work.key in self.shares.heavy)
 
     def set_user_timeout(self, timeout_ms: int) -> None:
         """Sets the TCP user timeout, if it isn't set yet.
@@ -264,7 +276,10 @@
         if self.pending_response is None:
             self.close()
             return
-        started_s = thread_time()
+        work = self.work
+        if len(data) <= UNMEASURED_BYTES:
+            work = None
+        started_s = thread_time() if work is not None else 0.0
         try:
             self.receive(data)
         except Exception as error:
@@ -273,10 +288,10 @@
                 extra={'connection': str(self)},
             )
             self.fail(f'internal error: {error}', reset=False)
-        if self.work is not None:
-            self.charge(self.work, thread_time() - started_s)
+        if work is not None:
+            self.charge(work, thread_time() - started_s, len(data))
 
-    def charge(self, work: ConnectionWork, cost_s: float) -> None:
+    def charge(self, work: ConnectionWork, cost_s: float, size: int) -> None:
         """Counts processor time; reads less from a server that takes much.
 
         The pause is only for a response that goes on: an idle connection has
@@ -285,14 +300,18 @@
         Args:
             work: What the connection has taken.
             cost_s: Processor time of the input, in seconds.
+            size: Bytes of the input.
         """
+        self.choose_read_size(cost_s > MAX_READ_COST_S)
+        cost_s -= size * PLAIN_BYTE_S
+        if cost_s <= 0.0:
+            return
         loop = get_running_loop()
         pause_s = work.charge(cost_s, loop.time())
         if not pause_s or self.pending_response is None:
             return
         if self.transport is None or self.transport.is_closing():
             return
-        self.choose_read_size()
         self.transport.pause_reading()
         self.resume_timer = loop.call_later(pause_s, self.resume_reading)
 
@@ -302,15 +321,15 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def choose_read_size(self) -> None:
-        """Reads less at a time from a server that takes much."""
+    def choose_read_size(self, costly: bool) -> None:
+        """Reads less at a time if it takes much processor time.
+
+        Args:
+            costly: Whether it does.
+        """
         transport = self.transport
-        if self.work is None or transport is None:
-            return
-        if not hasattr(transport, 'max_size'):
-            return
-        is_heavy = self.work.key in self.work.shares.heavy
-        transport.max_size = SMALL_READ_BYTES if is_heavy else READ_BYTES
+        if transport is not None and hasattr(transport, 'max_size'):
+            transport.max_size = SMALL_READ_BYTES if costly else READ_BYTES
 
     def receive(self, data: bytes) -> None:
         """Feeds the parser; fails the open request if it can't be read."""
@@ -332,7 +351,7 @@
             return
         max_bytes = MAX_HEAD_BYTES
         if self.headers_complete and self.is_final:
-            max_bytes = MAX_FRAMING_BYTES + 2 * len(self.body.data)
+            max_bytes = self.max_received_bytes
         if self.received_bytes > max_bytes:
             self.fail_with(ResponseTooLarge())
             return
@@ -340,6 +359,14 @@
         if not self.holding.resize(held_bytes):
             self.fail('memory limit', reset=False)
 
+    @property
+    def max_received_bytes(self) -> int:
+        """Bytes that the response may have taken with the body so far."""
+        head_bytes = self.interim_bytes + self.head_bytes
+        body_bytes = len(self.body.data)
+        framing_bytes = MAX_FRAMING_BYTES + int(FRAMING_SHARE * body_bytes)
+        return head_bytes + body_bytes + framing_bytes
+
     def eof_received(self) -> None:
         """Completes a response without framing; fails any other one."""
         if self.is_final and self.headers_complete and not self.has_framing:
@@ -394,6 +421,7 @@
     def on_message_complete(self) -> None:
         """Finishes the response unless it is an interim one (1xx)."""
         if not self.is_final:
+            self.interim_bytes += self.head_bytes
             self.clear_response()
             return
         self.finish_response(close=not self.parser.should_keep_alive())
@@ -529,11 +557,11 @@
         self.response_started = False
         self.received_bytes = 0
         self.skipped_bytes = 0
+        self.interim_bytes = 0
         self.request_id = b''
         if self.request_id_header:
             self.request_id = request.header(self.request_id_header)
         long = len(request.body) > MIN_WINDOW_BYTES
-        self.choose_read_size()
         self.set_user_timeout(NO_USER_TIMEOUT_MS if long else USER_TIMEOUT_MS)
         outgoing.write(encode_request_head(request), request.body, request)
         timer = None
