Close the connection to a server that is not used after all

Callers saw: nothing at once. Each such connection took a descriptor of the host, one of the server's connections and 8 KiB of the budget until the server closed it.

Cause: a connection taken from the pool or opened was forgotten if its server left or paused meanwhile, also for requests of other hosts, and after an error before, in or after the exchange (building or encoding the request, classifying the response).

The ways of requests of other hosts (relayserver) have the same two lines and no test of their own.

Change: these places close it.

--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -197,6 +197,22 @@
             ConnectFailed: If the connection is closed, before anything is
                 sent.
         """
+        try:
+            return await self.exchange_on(
+                outgoing, server, connection, expected_duration_s
+            )
+        except BaseException:
+            connection.close()
+            raise
+
+    async def exchange_on(
+        self,
+        outgoing: OutgoingRequest,
+        server: ServerRecord,
+        connection: ServerConnection,
+        expected_duration_s: float,
+    ) -> Sent | Lost:
+        """Sends the request; see `exchange`, which closes after an error."""
         sent_at = self.clock()
         request = self.header_codec.server_request(
             outgoing.request, server, outgoing.deadline_at - sent_at
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -175,8 +175,10 @@
         """Sends a request over a connection of this host."""
         server = attempt.server
         if self.direct.find_server(attempt.grant) is None:
+            connection.close()
             return NotSent(server.name, 'the server has left', confirmed=True)
         if self.direct.is_paused(server):
+            connection.close()
             return NotSent(server.name, 'the server pauses', paused=True)
         attempt.relayed = False
         attempt.record_send(self.clock())
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -223,8 +223,10 @@
             return RelayFailure(False, LEFT)
         connection = await self.direct.connect(server)
         if self.direct.find_server(grant) is None:
+            connection.close()
             return RelayFailure(False, LEFT)
         if self.direct.is_paused(server):
+            connection.close()
             return RelayFailure(False, PAUSED)
         result = await self.direct.exchange(
             outgoing, server, connection, grant.expected_duration_s
