Take responses of some ten thousand chunks of one byte

Callers would have got 502 in place of a valid response: framing of 16 KiB beside the body gave up a response of 4,700 bytes that its server sends in chunks of one byte, which still took. Found in review before it landed.

Change: framing may take 128 KiB beside 1.5 times the body, so that chunks of one byte pass up to some 37,000. What a flood of chunks of two bytes takes before it is given up rises from about 57 KB to 460 KB; reading pauses meanwhile.

--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -52,7 +52,7 @@
 MAX_HEAD_BYTES = 131_072
 # Limit of the framing of a response beyond its headers and a share of its
 # body: chunk sizes and extensions, fields after the body.
-MAX_FRAMING_BYTES = 16_384
+MAX_FRAMING_BYTES = 131_072
 # Bytes of framing allowed for each byte of a body. Chunks of four bytes or
 # more keep within it, whatever the size of the body.
 FRAMING_SHARE = 1.5
