Take back the offer to relay a request that has ended

Callers saw: nothing at once.

Cause: a host that asked for an offer told nobody when its request ended meanwhile; and a cancellation in one batch with the question was handled before it.

Change: the offer is cancelled, and cancellations are handled one turn later.

--- a/cowslipmill/host/tests/test_leases.py
+++ b/cowslipmill/host/tests/test_leases.py
@@ -172,6 +172,11 @@
     ]
 
 
+def count_offers(fleet: Fleet) -> int:
+    """Returns how many offers to relay a request hosts have open."""
+    return sum(len(host.relay_server.offers) for host in fleet.hosts)
+
+
 def make_context(host: Host, path: str) -> RequestContext:
     """Returns the context of a request that arrives at a host now."""
     forwarder = host.forwarder
@@ -210,17 +215,21 @@
 ) -> int:
     """Ends one request at each of its awaits; returns how many there were."""
     kept: dict[int, int] = {}
+    offers: dict[int, int] = {}
     for number in range(1, MAX_AWAITS):
         injection = Injection(number, error, late=late)
         with suppress(Unexpected, CancelledError):
             await respond_with(host, path, injection)
         await sleep(SETTLE_S)
+        if count_offers(fleet):
+            offers[number] = count_offers(fleet)
         if open_leases(fleet):
             kept[number] = len(open_leases(fleet))
             await sleep(DEADLINE_S + 1.0)
         if injection.count < number:
             break
     assert_that(kept, Equals({}))
+    assert_that(offers, Equals({}))
     assert_that(releases.counts.most_common(1)[0][1], Equals(1))
     return number - 1
 
@@ -308,7 +317,7 @@
     error: type[BaseException],
     late: bool,
 ) -> None:
-    """The host that relays it has a promise open, too."""
+    """The host that relays it keeps no offer open either."""
     host = other_than_coordinator(large_fleet)
     await isolate(large_fleet, partition, [host])
     await check_injections(
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -141,11 +141,16 @@
         """
         grant = attempt.grant
         remaining_s = attempt.context.deadline_at - self.clock()
-        offer = await self.rpc.call(
-            member.address,
-            AskRelay(grant, remaining_s, len(attempt.context.request.body)),
-            OFFER_TIMEOUT_S,
+        message = AskRelay(
+            grant, remaining_s, len(attempt.context.request.body)
         )
+        try:
+            offer = await self.rpc.call(
+                member.address, message, OFFER_TIMEOUT_S
+            )
+        except BaseException:
+            self.cancel(member, grant.key)
+            raise
         if not isinstance(offer, RelayOffer):
             self.cancel(member, grant.key)
             self.member_list.back_off(member.name, self.clock())
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import current_task
+from asyncio import sleep
 from asyncio import Task
 from asyncio import timeout_at
 from collections.abc import Callable
@@ -240,6 +241,9 @@
 
     async def on_cancel_relay(self, message: CancelRelay, sender: str) -> None:
         """Stops sending a request, which closes its connection."""
+        # Calls that arrived together with this message begin in this turn of
+        # the event loop.
+        await sleep(0)
         self.offers.pop(message.key, None)
         task = self.in_progress.get(message.key)
         if task is not None:
