Don't close a connection as idle whose input waits to be parsed

Cause: input that waits begins no request yet, so that the connection's last response set its timeout.

Evidence: http1/tests/test_slices.py, a connection with input to parse isn't idle; fails without the change.

Change: the idle timeout leaves connections with such input alone.

--- a/cowslipmill/http1/callerconnection.py
+++ b/cowslipmill/http1/callerconnection.py
@@ -1048,7 +1048,7 @@
             if now - self.phase_started_at > timeout_s:
                 self.reject(408)
             return
-        if now - self.phase_started_at > limits.idle_s:
+        if now - self.phase_started_at > limits.idle_s and not self.rest:
             self.close()
 
     def check_progress(self, now: float) -> None:
--- a/cowslipmill/http1/tests/test_slices.py
+++ b/cowslipmill/http1/tests/test_slices.py
@@ -137,6 +137,25 @@
     sink.abort()
 
 
+async def test_a_connection_with_input_to_parse_is_not_idle(
+    bench: Bench,
+) -> None:
+    """A request that has arrived late could be closed upon unread."""
+    bench.slice_s = 2 * BURST_S
+    flood, sink = bench.open(), bench.open()
+    flood.protocol.data_received(HEAD + CHUNKS)
+    bench.now = LIMITS.idle_s + 1.0
+    flood.protocol.work.charge(1.0, bench.now)
+    head = HEAD[:-2] + b'x: ' + b'y' * 5_000 + b'\r\n\r\n'
+    sink.protocol.data_received(head)
+    sink.protocol.phase_started_at = 0.0
+    bench.server.enforce_timeouts(bench.now)
+    assert_that(len(sink.protocol.rest), Equals(len(head)))
+    assert_that(sink.aborted, Equals(False))
+    flood.abort()
+    sink.abort()
+
+
 async def test_a_request_before_the_end_of_input_is_answered(
     bench: Bench,
 ) -> None:
