Ask for suspect requests on the first contact, however late

Cause: a host that starts asks for suspect requests with its greetings only during the first 0.5 s, and gave up for good after that.

Evidence: test_a_host_that_starts_cut_off_is_told_suspects_on_contact failed before.

Change: a greeting asks until another host has told all.

Result: the test passes.

Tests of fleet/, check/, entry/ and test_crashtracker.py pass.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -265,7 +265,10 @@
         return self.random.choice(others) if others else None
 
     async def send_hello(self, address: Address) -> bool:
-        """Sends a `Hello`, and asks for a snapshot if the view isn't usable.
+        """Sends a `Hello`, and asks for what this host lacks.
+
+        That is a snapshot if the view isn't usable, and the suspect requests
+        until another host has told all, however late it is reached.
 
         Args:
             address: IP address and port of the other host.
@@ -280,7 +283,7 @@
         if isinstance(reply, Members):
             self.add_members(reply.members)
         self.contacted[address] = True
-        if not self.caught_up:
+        if not self.told_suspects:
             await self.fetch_suspects(address)
         if not self.view.usable and self.is_snapshot_source(address):
             self.request_snapshot(address)
--- a/cowslipmill/fleet/tests/test_gossip.py
+++ b/cowslipmill/fleet/tests/test_gossip.py
@@ -15,11 +15,13 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from cowslipmill.fleet.gossip import CATCH_UP_TIMEOUT_S
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.gossip import MAX_GREETED
 from cowslipmill.fleet.gossip import MAX_NEIGHBOURS
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.messages import News
+from cowslipmill.fleet.messages import Suspects
 from cowslipmill.fleet.tests.network import FakeNetwork
 from cowslipmill.fleet.tests.network import SEEDS
 from cowslipmill.view.events import ConfigurationUpdated
@@ -33,6 +35,7 @@
 DOMAINS = 5
 # From power on to the first answer, nine of ten hosts may take this long.
 SOON_S = 0.6
+SEED = ('10.0.0.0', 80)
 LATE = Member('late', 'domain-0', ('10.9.9.9', 80), 1)
 
 
@@ -132,6 +135,29 @@
     assert_that(await seconds_until_known(network), LessThan(SOON_S))
 
 
+async def ignore(message: Suspects, sender: str) -> None:
+    """Takes no suspect requests from a comparison."""
+
+
+async def test_a_host_that_starts_cut_off_is_told_suspects_on_contact(
+    network: FakeNetwork,
+) -> None:
+    """It has waited in vain, and serves without knowing them."""
+    network.silent = False
+    network.seeds = (SEED,)
+    late = await network.start_host(LATE)
+    late.rpc.register(Suspects, ignore)
+    await sleep(2 * CATCH_UP_TIMEOUT_S)
+    await network.start(SEEDS, 1)
+    for address in network.seeds:
+        gossip = network.hosts[address]
+        gossip.rpc.register(Suspects, ignore)
+        for server in ('server-0/1', 'server-1/1'):
+            gossip.suspects.report_crash(b'crasher', server, gossip.clock())
+    await sleep(KNOWN_S)
+    assert_that(late.suspects.is_suspect(b'crasher'), Equals(True))
+
+
 def fill_view(gossip: Gossip) -> None:
     """Lets a host know the store."""
     events: list[StoreEvent] = [
