--- a/cowslipmill/bench/experiments/floods.py
+++ b/cowslipmill/bench/experiments/floods.py
@@ -26,6 +26,9 @@
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
+from cowslipmill.platform.headers import DEADLINE
+from cowslipmill.platform.headers import REQUEST_ID
+from cowslipmill.platform.storeapi import CONFIGURATION_KEY
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import Stream
 from cowslipmill.standin.floods import CallerStream
@@ -152,7 +155,7 @@
                 Service=service,
             )
             self.store.put(f'servers/{server.name}', entry)
-        self.store.put('op/config', make_floods_configuration())
+        self.store.put(CONFIGURATION_KEY, make_floods_configuration())
         callers, readiness, peers = (
             split_address(self.context.network.host(self.number, port))
             for port in PORTS
@@ -223,8 +226,8 @@
         address = self.settings.callers_listen
         headers = [
             (b'host', HOST_HEADER.encode()),
-            (b'x-request-id', b'q%d' % next(self.numbers)),
-            (b'x-deadline-ms', b'%d' % (DEADLINE_S * 1_000)),
+            (REQUEST_ID, b'q%d' % next(self.numbers)),
+            (DEADLINE, b'%d' % (DEADLINE_S * 1_000)),
         ]
         request = Request(b'GET', SOUND_ROUTE.encode() + b'1', headers, b'')
         now = get_running_loop().time()
