Keep the platform's header names out of the experiment

The test of the boundary of platform/ failed on: the experiment spelled an error answer with the platform's headers. The stand-in server, which stands for the platform's, holds that answer now; the bytes are the same.

--- a/cowslipmill/bench/experiments/outliers.py
+++ b/cowslipmill/bench/experiments/outliers.py
@@ -15,6 +15,7 @@
 from cowslipmill.bench.experiment import Result
 from cowslipmill.bench.hoststage import HostStage
 from cowslipmill.standin.backend import Ending
+from cowslipmill.standin.backend import ERROR_ANSWER
 from cowslipmill.standin.backend import RawAnswer
 from cowslipmill.standin.backend import Stream
 
@@ -28,11 +29,6 @@
 WARM_UP_S = 1.0
 DEFAULT_SECONDS = 10.0
 RESET = RawAnswer(b'', Ending.RESETS)
-ERROR = RawAnswer(
-    b'HTTP/1.1 500 Error\r\nx-request-id: <id>\r\n'
-    b'x-response-signature: <id>.ok\r\ncontent-length: 0\r\n\r\n',
-    Ending.CLOSES,
-)
 
 
 class Arm(Struct, frozen=True):
@@ -60,7 +56,7 @@
     'headers-at-start': replace(HEADERS, from_start=True),
     'interim': Arm(Stream.INTERIM),
     'reset': Arm(RESET),
-    'error': Arm(ERROR),
+    'error': Arm(ERROR_ANSWER),
     'half': replace(HEADERS, failed_share=0.5),
     'fifth': replace(HEADERS, failed_share=0.2),
     'two': replace(HEADERS, bad=2),
--- a/cowslipmill/standin/backend.py
+++ b/cowslipmill/standin/backend.py
@@ -159,6 +159,13 @@
     ending: Ending
 
 
+ERROR_ANSWER = RawAnswer(
+    b'HTTP/1.1 500 Error\r\nx-request-id: <id>\r\n'
+    b'x-response-signature: <id>.ok\r\ncontent-length: 0\r\n\r\n',
+    Ending.CLOSES,
+)
+
+
 class DownAddress(Enum):
     """What happens to connections to the address of a crashed server."""
 
