Keep the platform's names out of the experiment floods

Nothing changed for callers. platform/tests/test_boundary.py failed since the experiment was added: it named a key of the store and two headers.

--- a/cowslipmill/bench/experiments/floods.py
+++ b/cowslipmill/bench/experiments/floods.py
@@ -28,9 +28,11 @@
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import Stream
+from cowslipmill.standin.floods import caller_headers
 from cowslipmill.standin.floods import CallerStream
 from cowslipmill.standin.floods import FloodingBackend
 from cowslipmill.standin.floods import LARGE
+from cowslipmill.standin.published import CONFIGURATION_KEY
 from cowslipmill.standin.published import make_configuration
 from cowslipmill.standin.published import make_entry
 from cowslipmill.standin.published import make_route
@@ -152,7 +154,7 @@
                 Service=service,
             )
             self.store.put(f'servers/{server.name}', entry)
-        self.store.put('op/config', make_floods_configuration())
+        self.store.put(CONFIGURATION_KEY, make_floods_configuration())
         callers, readiness, peers = (
             split_address(self.context.network.host(self.number, port))
             for port in PORTS
@@ -221,11 +223,8 @@
         """
         assert self.settings is not None
         address = self.settings.callers_listen
-        headers = [
-            (b'host', HOST_HEADER.encode()),
-            (b'x-request-id', b'q%d' % next(self.numbers)),
-            (b'x-deadline-ms', b'%d' % (DEADLINE_S * 1_000)),
-        ]
+        number = next(self.numbers)
+        headers = caller_headers(HOST_HEADER, number, DEADLINE_S)
         request = Request(b'GET', SOUND_ROUTE.encode() + b'1', headers, b'')
         now = get_running_loop().time()
         connection = self.pool.acquire(address, now)
--- a/cowslipmill/standin/floods.py
+++ b/cowslipmill/standin/floods.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from cowslipmill.http1.message import Headers
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import Run
 from cowslipmill.standin.backend import StandinBackend
@@ -24,6 +25,21 @@
 SOURCE_PREFIX = '127.250.7'
 
 
+def caller_headers(host: str, number: int, deadline_s: float) -> Headers:
+    """Returns the headers that a sound caller sends.
+
+    Args:
+        host: The Host header.
+        number: Number of the request, which its id is made from.
+        deadline_s: Seconds that it states as its deadline.
+    """
+    return [
+        (b'host', host.encode()),
+        (b'x-request-id', b'q%d' % number),
+        (b'x-deadline-ms', b'%d' % (deadline_s * 1_000)),
+    ]
+
+
 class CallerStream(Enum):
     """Bytes without end that a caller sends.
 
--- a/cowslipmill/standin/published.py
+++ b/cowslipmill/standin/published.py
@@ -6,6 +6,7 @@
 
 SERVICE = 'registry'
 STARTED_MS = 1_700_000_000_000
+CONFIGURATION_KEY = 'op/config'
 
 Published = dict[str, Any]
 
