--- a/cowslipmill/bench/experiments/floods.py
+++ b/cowslipmill/bench/experiments/floods.py
@@ -31,9 +31,11 @@
 from cowslipmill.platform.storeapi import CONFIGURATION_KEY
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import Stream
+from cowslipmill.standin.floods import caller_headers
 from cowslipmill.standin.floods import CallerStream
 from cowslipmill.standin.floods import FloodingBackend
 from cowslipmill.standin.floods import LARGE
+from cowslipmill.standin.published import CONFIGURATION_KEY
 from cowslipmill.standin.published import make_configuration
 from cowslipmill.standin.published import make_entry
 from cowslipmill.standin.published import make_route
