--- a/cowslipmill/bench/experiments/floods.py
+++ b/cowslipmill/bench/experiments/floods.py
@@ -26,9 +26,6 @@
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ExchangeFailed
 from cowslipmill.http1.serverconnection import open_connection
-from cowslipmill.platform.headers import DEADLINE
-from cowslipmill.platform.headers import REQUEST_ID
-from cowslipmill.platform.storeapi import CONFIGURATION_KEY
 from cowslipmill.runtime.address import split_address
 from cowslipmill.standin.backend import Stream
 from cowslipmill.standin.floods import caller_headers
@@ -226,11 +223,8 @@
         """
         assert self.settings is not None
         address = self.settings.callers_listen
-        headers = [
-            (b'host', HOST_HEADER.encode()),
-            (REQUEST_ID, b'q%d' % next(self.numbers)),
-            (DEADLINE, b'%d' % (DEADLINE_S * 1_000)),
-        ]
+        number = next(self.numbers)
+        headers = caller_headers(HOST_HEADER, number, DEADLINE_S)
         request = Request(b'GET', SOUND_ROUTE.encode() + b'1', headers, b'')
         now = get_running_loop().time()
         connection = self.pool.acquire(address, now)
