Keep servers in use that fail now and then

Callers would have been served worse while one of few servers loses a part of its answers.

Cause: two failures in a row eject a server whatever it is known for.

Change: a server that has failed lately without being ejected needs four in a row.

--- a/cowslipmill/leasing/ejection.py
+++ b/cowslipmill/leasing/ejection.py
@@ -27,6 +27,10 @@
 MIN_FAILED_SHARE = 0.001
 # Share of failures assumed of the others at most, below 1 for its logarithm.
 MAX_FAILED_SHARE = 0.99
+# Share of failures that a server itself is known for, up to this, counts as if
+# the others had it: four in a row are needed then. One that fails now and then
+# carries load that the others may have no room for.
+MAX_KNOWN_SHARE = 0.03
 # Weight of the latest result in a server's share of failures.
 FAILED_SHARE_WEIGHT = 1 / 32
 # The same in the share that other servers are compared with.
@@ -77,6 +81,7 @@
             process breaks, count as one.
         failed_at: When the last of them was known.
         failed_share: Moving average of the share of failures and errors.
+        known_share: The same before the failures in a row.
         usual_share: The same over more results.
         trial_answers: Answers missing until it is used as before; 0 unless it
             is ejected or tried again.
@@ -94,6 +99,7 @@
         'failed_at',
         'failed_share',
         'failures',
+        'known_share',
         'limited',
         'returned_at',
         'trial_answers',
@@ -105,6 +111,7 @@
         self.failures = 0
         self.failed_at = float('-inf')
         self.failed_share = 0.0
+        self.known_share = 0.0
         self.usual_share = 0.0
         self.trial_answers = 0
         self.ejected_until = float('-inf')
@@ -175,6 +182,8 @@
         if outcome is Outcome.FAILED:
             if granted_at < self.failed_at:
                 return None
+            if not self.failures:
+                self.known_share = self.failed_share
             self.failures += 1
             self.failed_at = now
         self.failed_share += FAILED_SHARE_WEIGHT * (1.0 - self.failed_share)
@@ -228,7 +237,8 @@
         usual = self.share_of_others(service)
         if self.failed_share >= usual + MIN_EXCESS_SHARE:
             return True
-        usual = min(MAX_FAILED_SHARE, max(MIN_FAILED_SHARE, usual))
+        known = min(MAX_KNOWN_SHARE, self.known_share)
+        usual = min(MAX_FAILED_SHARE, max(MIN_FAILED_SHARE, usual, known))
         return self.failures * log(usual) <= log(MAX_CHANCE)
 
     def share_of_others(self, service: 'Collection[Ejection]') -> float:
