Serve routes for uploads and downloads

Downloads may be repeated, uploads may not. Routes tell whether their bodies are large. A kind that isn't known still rejects the configuration, so that the last good one stays in force; the error now names the route.

--- a/cowslipmill/platform/configuration.py
+++ b/cowslipmill/platform/configuration.py
@@ -3,6 +3,7 @@
 from cowslipmill.platform.errors import InvalidField
 from cowslipmill.platform.fields import JsonObject
 from cowslipmill.platform.fields import MAX_INTEGER
+from cowslipmill.platform.fields import quote
 from cowslipmill.platform.fields import read_integer
 from cowslipmill.platform.fields import read_number
 from cowslipmill.platform.fields import read_object
@@ -15,7 +16,14 @@
 from cowslipmill.view.configuration import RouteTarget
 from cowslipmill.view.configuration import Service
 
-IDEMPOTENT_BY_KIND = {'safe': True, 'unsafe': False}
+IDEMPOTENT_BY_KIND = {
+    'safe': True,
+    'unsafe': False,
+    'download': True,
+    'upload': False,
+}
+# Kinds whose requests or responses have large bodies.
+BULK_KINDS = frozenset(('download', 'upload'))
 VERSION_BASE = 16
 
 
@@ -76,17 +84,23 @@
 def decode_route(fields: JsonObject) -> Route:
     """Returns a route.
 
+    A kind that isn't known rejects the whole configuration, so that the last
+    good one stays in force: whether such requests may be repeated, or need
+    more than forwarding, can't be told.
+
     Raises:
         InvalidField: If a field is missing or invalid.
     """
+    name = read_name(fields)
     kind = read_string(fields, 'Kind')
     if kind not in IDEMPOTENT_BY_KIND:
-        raise InvalidField('Kind', f'{kind!r} is not known')
+        reason = f'{quote(kind)} of route {quote(name)} is not known'
+        raise InvalidField('Kind', reason)
     prefix = read_string(fields, 'Prefix')
     if not prefix.startswith('/') or not prefix.endswith('/'):
         raise InvalidField('Prefix', f'{prefix!r} needs slashes at both ends')
     return Route(
-        name=read_name(fields),
+        name=name,
         host=read_string(fields, 'Host').lower(),
         prefix=prefix,
         idempotent=IDEMPOTENT_BY_KIND[kind],
@@ -95,6 +109,7 @@
         max_attempts=read_integer(fields, 'MaxAttempts', minimum=1),
         priority=read_integer(fields, 'Priority'),
         targets=decode_targets(fields),
+        bulk=kind in BULK_KINDS,
     )
 
 
--- a/cowslipmill/view/configuration.py
+++ b/cowslipmill/view/configuration.py
@@ -30,6 +30,7 @@
         max_attempts: Number of servers that a request may be sent to.
         priority: Priority, 0 is the most urgent.
         targets: The services that share the requests, by weight.
+        bulk: Whether its requests or responses have large bodies.
     """
 
     name: str
@@ -41,6 +42,7 @@
     max_attempts: int
     priority: int
     targets: tuple[RouteTarget, ...]
+    bulk: bool = False
 
 
 class Service(Struct, frozen=True, array_like=True):
