Rank hosts by processor time for their duties

Members tell their processor time. Coordinators, relays and readers of the store are ranked by it, in classes of a factor of two. Hosts that are alike keep their order, and so do all while one of an older build is known.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -321,7 +321,7 @@
         the fleet. One that doesn't respond is replaced by the next in order.
         """
         ranked = self.member_list.ranked_states(
-            'relay', self.member_list.own.failure_domain
+            'relay', self.member_list.own.failure_domain, by_capacity=True
         )
         members = [
             state.member
@@ -582,7 +582,7 @@
         for domain in self.member_list.failure_domains():
             if domain != self.member_list.own.failure_domain:
                 relays += self.member_list.ranked_members(
-                    'relay', domain, now
+                    'relay', domain, now, by_capacity=True
                 )[:1]
         self.rpc.send_all(relays, relayed)
 
@@ -602,7 +602,7 @@
         """Whether this host passes on messages from other failure domains."""
         own = self.member_list.own
         ranking = self.member_list.ranked_members(
-            'relay', own.failure_domain, self.clock()
+            'relay', own.failure_domain, self.clock(), by_capacity=True
         )
         return bool(ranking) and ranking[0].name == own.name
 
--- a/cowslipmill/fleet/memberlist.py
+++ b/cowslipmill/fleet/memberlist.py
@@ -2,6 +2,11 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
+from math import floor
+from math import inf
+from math import log2
+
+from msgspec.structs import replace
 
 from cowslipmill.coordination.rendezvous import rank
 from cowslipmill.fleet.messages import Member
@@ -54,7 +59,8 @@
     Attributes:
         own: This host.
         states: States of the hosts by name.
-        rankings: Rankings of the hosts by purpose and failure domain.
+        rankings: Rankings of the hosts by purpose, failure domain and whether
+            they are by capacity.
     """
 
     def __init__(self, own: Member) -> None:
@@ -62,8 +68,8 @@
         self.own = own
         self.states: dict[str, MemberState] = {own.name: MemberState(own)}
         self.cached_digest: int | None = None
-        self.rankings: dict[tuple[str, str], list[MemberState]] = BoundedDict(
-            MAX_RANKINGS
+        self.rankings: dict[tuple[str, str, bool], list[MemberState]] = (
+            BoundedDict(MAX_RANKINGS)
         )
 
     def add(self, members: Iterable[Member]) -> list[Member]:
@@ -79,6 +85,7 @@
             if state is not None and (
                 state.member.started_ms >= member.started_ms
             ):
+                self.learn_processor(state, member)
                 continue
             if state is None and len(self.states) >= MAX_MEMBERS:
                 continue
@@ -91,6 +98,21 @@
             self.cached_digest = None
         return added
 
+    def learn_processor(self, state: MemberState, member: Member) -> None:
+        """Records the processor time of a host that is known without it.
+
+        A host of an older build passes a member on without this field.
+
+        Args:
+            state: The host as it is known.
+            member: The host as another one knows it.
+        """
+        known = state.member
+        if known.started_ms == member.started_ms and not known.processor:
+            if member.processor:
+                state.member = replace(known, processor=member.processor)
+                self.rankings.clear()
+
     def mark_leaving(self, name: str, started_ms: int) -> None:
         """Records that a host stops.
 
@@ -135,7 +157,12 @@
         return int.from_bytes(raw, 'big')
 
     def ranked_members(
-        self, purpose: str, failure_domain: str, now: float
+        self,
+        purpose: str,
+        failure_domain: str,
+        now: float,
+        *,
+        by_capacity: bool = False,
     ) -> list[Member]:
         """Returns the usable hosts, ranked by rendezvous hashing.
 
@@ -146,15 +173,15 @@
                 each purpose has its own ranking.
             failure_domain: Failure domain of the hosts; empty for all.
             now: Monotonic seconds.
+            by_capacity: Whether hosts with more processor time come first.
         """
-        return [
-            state.member
-            for state in self.ranked_states(purpose, failure_domain)
-            if now >= state.backoff_until
-        ]
+        ranked = self.ranked_states(
+            purpose, failure_domain, by_capacity=by_capacity
+        )
+        return [state.member for state in ranked if now >= state.backoff_until]
 
     def ranked_states(
-        self, purpose: str, failure_domain: str
+        self, purpose: str, failure_domain: str, *, by_capacity: bool = False
     ) -> list[MemberState]:
         """Returns the hosts that aren't leaving, by rendezvous hashing.
 
@@ -164,8 +191,10 @@
         Args:
             purpose: What the hosts are ranked for.
             failure_domain: Failure domain of the hosts; empty for all.
+            by_capacity: Whether hosts with more processor time come first,
+                if all of them say how much they have.
         """
-        key = (purpose, failure_domain)
+        key = (purpose, failure_domain, by_capacity)
         ranking = self.rankings.get(key)
         if ranking is None:
             names = [
@@ -173,7 +202,11 @@
                 for name, state in self.states.items()
                 if failure_domain in ('', state.member.failure_domain)
             ]
-            ranking = [self.states[n] for n in rank(f'{key}', names)]
+            # Hosts of older builds hash the same text.
+            hashed = rank(f'{(purpose, failure_domain)}', names)
+            ranking = [self.states[name] for name in hashed]
+            if by_capacity:
+                ranking = order_by_capacity(ranking)
             self.rankings[key] = ranking
         return [state for state in ranking if not state.leaving]
 
@@ -197,3 +230,22 @@
         state.failures += 1
         state.failed_at = now
         state.backoff_until = now + backoff_s
+
+
+def order_by_capacity(ranking: list[MemberState]) -> list[MemberState]:
+    """Returns hosts in an order in which those with more capacity come first.
+
+    A coordinator on a host with a fifth of the processor time of others
+    replies late when it is busy. Hosts within a factor of two keep their
+    order, so that their duties stay spread. The order stays as it is while
+    any host doesn't tell its processor time: it is of an older build, which
+    ranks by hashing alone, and both builds have to rank alike.
+
+    Args:
+        ranking: The hosts, ranked by rendezvous hashing.
+    """
+    if not all(0.0 < state.member.processor < inf for state in ranking):
+        return ranking
+    return sorted(
+        ranking, key=lambda state: -floor(log2(state.member.processor))
+    )
--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -33,12 +33,15 @@
         failure_domain: Failure domain in which it runs.
         address: IP address and port for connections from other hosts.
         started_ms: Unix milliseconds of its process's start.
+        processor: Processor time that it has, in seconds a second; 0.0 if it
+            doesn't say.
     """
 
     name: Name
     failure_domain: Name
     address: Address
     started_ms: int
+    processor: float = 0.0
 
 
 class Hello(Struct, frozen=True, array_like=True, tag='hello'):
--- a/cowslipmill/fleet/tests/test_memberlist.py
+++ b/cowslipmill/fleet/tests/test_memberlist.py
@@ -1,5 +1,6 @@
 """Tests of the member list: ranking, backoff and digests."""
 
+from msgspec.structs import replace
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains
@@ -100,3 +101,55 @@
     assert_that(other.digest(), Equals(member_list.digest()))
     other.add([make_member(9)])
     assert_that(other.digest() == member_list.digest(), Equals(False))
+
+
+def make_uneven_list(
+    processors: dict[str, float],
+) -> MemberList:
+    """Returns nine hosts with the processor time given by name."""
+    members = [
+        replace(member, processor=processors.get(member.name, 0.43))
+        for member in map(make_member, range(9))
+    ]
+    member_list = MemberList(members[0])
+    member_list.add(members[1:])
+    return member_list
+
+
+def names_by_capacity(member_list: MemberList) -> list[str]:
+    ranked = member_list.ranked_members('registry', '', 0.0, by_capacity=True)
+    return [member.name for member in ranked]
+
+
+def test_hosts_with_more_processor_time_coordinate() -> None:
+    """A small host that coordinates a busy service replies late."""
+    member_list = make_uneven_list({'host-3': 2.15, 'host-7': 2.15})
+    ranked = names_by_capacity(member_list)
+    hashed = ranked_names(member_list)
+    others = [name for name in hashed if name not in ('host-3', 'host-7')]
+    assert_that(set(ranked[:2]), Equals({'host-3', 'host-7'}))
+    assert_that(ranked[2:], Equals(others))
+
+
+def test_hosts_of_similar_capacity_keep_their_order() -> None:
+    """All duties would gather on the host that is slightly larger."""
+    member_list = make_uneven_list({'host-3': 0.49})
+    assert_that(
+        names_by_capacity(member_list), Equals(ranked_names(member_list))
+    )
+
+
+def test_capacity_counts_only_if_all_hosts_tell_theirs() -> None:
+    """Builds that rank differently would coordinate the same servers."""
+    member_list = make_uneven_list({'host-3': 2.15, 'host-5': 0.0})
+    assert_that(
+        names_by_capacity(member_list), Equals(ranked_names(member_list))
+    )
+
+
+def test_capacity_is_learned_after_an_older_build_left_it_out() -> None:
+    """Hashing alone would rank the hosts until the next restart."""
+    member_list = make_uneven_list({'host-3': 2.15, 'host-5': 0.0})
+    names_by_capacity(member_list)
+    member_list.add([replace(make_member(5), processor=0.43)])
+    assert_that(names_by_capacity(member_list)[0], Equals('host-3'))
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -166,6 +166,7 @@
             settings.failure_domain,
             settings.peer_address or settings.peer_listen,
             time_ns() // 1_000_000,
+            settings.processor,
         )
         self.member_list = MemberList(own_member)
         self.rpc = Rpc(settings, deployment, random, self.memory.hosts)
@@ -431,7 +432,9 @@
             is not part of it.
         """
         name = name or self.settings.name
-        ranked = self.member_list.ranked_members('store', '', self.clock())
+        ranked = self.member_list.ranked_members(
+            'store', '', self.clock(), by_capacity=True
+        )
         for index, member in enumerate(ranked):
             if member.name == name:
                 return index
--- a/cowslipmill/host/settings.py
+++ b/cowslipmill/host/settings.py
@@ -32,6 +32,8 @@
         server_source_ip: Local IP address of connections to servers; empty
             if the system chooses it.
         memory_mb: Memory limit of the process in MiB.
+        processor: Processor time that the host has, in seconds a second of a
+            usual core; 0.0 if that is not known.
     """
 
     name: str
@@ -49,3 +51,4 @@
     peer_address: Address | None = None
     server_source_ip: str = ''
     memory_mb: float = DEFAULT_MEMORY_MB
+    processor: float = 0.0
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -172,9 +172,13 @@
         Returns:
             The share, and the number of requests that may be saved up.
         """
-        ranked = self.member_list.ranked_states(service, failure_domain)
+        ranked = self.member_list.ranked_states(
+            service, failure_domain, by_capacity=True
+        )
         if not ranked:
-            ranked = self.member_list.ranked_states(service, '')
+            ranked = self.member_list.ranked_states(
+                service, '', by_capacity=True
+            )
         for portion, state in zip(COORDINATOR_SHARES, ranked, strict=False):
             if state.member.name == self.member_list.own.name:
                 return portion
@@ -253,7 +257,7 @@
             usable = (
                 member
                 for member in self.member_list.ranked_members(
-                    purpose, domain, now
+                    purpose, domain, now, by_capacity=True
                 )
                 if (domain or member.failure_domain != failure_domain)
                 and self.may_have_path(member, service, failure_domain, now)
--- a/cowslipmill/platform/nodefile.py
+++ b/cowslipmill/platform/nodefile.py
@@ -64,6 +64,9 @@
         leaving_s=read_float(fields, 'Bounds.DrainMs') / 1000,
         first_start=fields.get('Bootstrap') == 'true',
         memory_mb=read_float(fields, MEMORY_FIELD, DEFAULT_MEMORY_MB),
+        # A share of a core, and how many times as fast the core is as usual.
+        processor=read_float(fields, 'Limits.CpuShare', 0.0)
+        * read_float(fields, 'Limits.Cores', 1.0),
     )
 
 
--- a/cowslipmill/relays/runningchecks.py
+++ b/cowslipmill/relays/runningchecks.py
@@ -107,7 +107,7 @@
         ]
         self.random.shuffle(members)
         coordinators = self.member_list.ranked_members(
-            server.service, server.failure_domain, now
+            server.service, server.failure_domain, now, by_capacity=True
         )[:1]
         members.sort(key=lambda member: member not in coordinators)
         replies = await gather(
