Serve sooner after all hosts lost power

The first host in the order of readers reads the store at once when hosts that it asked had no view. Hosts stop waiting for suspect requests when all seeds and some others say that they are starting, too; seeds that refuse connections are asked again.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -76,6 +76,14 @@
 # requests of others. A seed that is running replies within milliseconds; if
 # all hosts start at once, none can tell anything.
 CATCH_UP_TIMEOUT_S = 0.5
+# Pause before a seed that could not be reached is asked again.
+SEED_RETRY_S = 0.05
+# Hosts that have to say that they are starting as well, beside all seeds,
+# before this one takes the whole fleet for starting. The others of its own
+# failure domain alone don't show it: that may have lost its power alone.
+MIN_STARTING_HOSTS = 5
+# Hosts without a view that show that no host has one.
+MIN_HOSTS_WITHOUT_VIEW = 2
 
 Address = tuple[str, int]
 OnEvents = Callable[[list[StoreEvent], str], None]
@@ -104,6 +112,9 @@
         newcomers: New hosts that aren't announced yet.
         greetings: Hosts of this failure domain that were greeted, each with
             whether it replied or may still do so.
+        starting_hosts: Addresses of the hosts that were asked for suspect
+            requests and wait for them themselves.
+        hosts_without_view: Addresses of the hosts that had no view to tell.
     """
 
     def __init__(
@@ -135,6 +146,8 @@
         self.fetching_snapshot = False
         self.newcomers: list[Member] = []
         self.greetings: dict[Member, bool] = BoundedDict(MAX_MEMBERS)
+        self.starting_hosts: dict[Address, bool] = BoundedDict(MAX_MEMBERS)
+        self.hosts_without_view: dict[Address, bool] = BoundedDict(MAX_MEMBERS)
         rpc.register(Hello, self.on_hello)
         rpc.register(Members, self.on_members)
         rpc.register(Compare, self.on_compare)
@@ -148,21 +161,55 @@
     @property
     def caught_up(self) -> bool:
         """Whether this host knows the suspect requests, or nobody told it."""
-        waited_s = self.clock() - self.started_at
-        return self.told_suspects or waited_s >= CATCH_UP_TIMEOUT_S
+        if self.told_suspects or self.is_fleet_starting:
+            return True
+        return self.clock() - self.started_at >= CATCH_UP_TIMEOUT_S
+
+    @property
+    def is_fleet_starting(self) -> bool:
+        """Whether no host seems to have run before this one started.
+
+        After a loss of power nobody can tell anything, and to wait for it
+        would keep callers waiting. All other seeds have to say so: they are in
+        several failure domains.
+        """
+        if len(self.starting_hosts) < MIN_STARTING_HOSTS:
+            return False
+        return all(seed in self.starting_hosts for seed in self.other_seeds)
+
+    @property
+    def other_seeds(self) -> list[Address]:
+        """The seeds without this host."""
+        own = self.member_list.own.address
+        return [seed for seed in self.seeds if seed != own]
+
+    @property
+    def is_view_unknown(self) -> bool:
+        """Whether the hosts that were asked had no view to tell."""
+        return len(self.hosts_without_view) >= MIN_HOSTS_WITHOUT_VIEW
 
     @Service.task
     async def catch_up(self) -> None:
         """Asks all seeds for suspect requests, since any may be gone."""
-        own = self.member_list.own.address
         await gather(
             *(
-                run_logged('suspects', self.fetch_suspects(seed))
-                for seed in self.seeds
-                if seed != own
+                run_logged('suspects', self.ask_seed(seed))
+                for seed in self.other_seeds
             )
         )
 
+    async def ask_seed(self, seed: Address) -> None:
+        """Asks a seed for suspect requests until it replies.
+
+        One that starts at the same time refuses connections at first.
+
+        Args:
+            seed: IP address and port of the seed.
+        """
+        while not self.caught_up and seed not in self.starting_hosts:
+            await self.fetch_suspects(seed)
+            await self.sleep(SEED_RETRY_S)
+
     @Service.task
     async def greet_seeds(self) -> None:
         """Sends a `Hello` to the seeds until enough hosts are known.
@@ -170,10 +217,9 @@
         Not every seed is contacted, since in a large fleet the member list in
         each reply is long.
         """
-        own = self.member_list.own.address
         rounds = 0
         while not self.should_stop:
-            seeds = [seed for seed in self.seeds if seed != own]
+            seeds = self.other_seeds
             self.random.shuffle(seeds)
             for seed in seeds:
                 # More than two other hosts for each seed.
@@ -381,6 +427,8 @@
         request = AskSnapshot(self.view.revision, self.view.version)
         reply = await self.rpc.call(address, request, SNAPSHOT_TIMEOUT_S)
         if isinstance(reply, Snapshot):
+            if not reply.revision:
+                self.hosts_without_view[address] = True
             applied = self.view.merge(reply, self.clock())
             self.on_events(applied, 'host')
             return
@@ -401,6 +449,8 @@
         now = self.clock()
         for summary in reply.records:
             self.suspects.merge(summary, now)
+        if not reply.complete:
+            self.starting_hosts[address] = True
         if reply.complete and not self.told_suspects:
             self.told_suspects = True
             LOG.info(
--- a/cowslipmill/fleet/tests/test_gossip.py
+++ b/cowslipmill/fleet/tests/test_gossip.py
@@ -251,3 +251,46 @@
             await network.hosts.pop(member.address).stop()
     await network.start_host(LATE)
     assert_that(await seconds_until_usable(network), LessThan(KNOWN_S))
+
+
+async def seconds_until_caught_up(network: FakeNetwork) -> float:
+    """Waits until no host holds requests for suspects any more."""
+    loop = get_running_loop()
+    started_at = loop.time()
+    while not all(gossip.caught_up for gossip in network.hosts.values()):
+        await sleep(0.01)
+    return loop.time() - started_at
+
+
+async def test_a_fleet_that_starts_anew_waits_for_no_one(
+    network: FakeNetwork,
+) -> None:
+    """After a loss of power, callers would wait for what nobody knows."""
+    await network.start(60, 3)
+    waited_s = await seconds_until_caught_up(network)
+    assert_that(waited_s, LessThan(CATCH_UP_TIMEOUT_S / 2))
+
+
+async def test_a_domain_that_starts_anew_is_told_by_the_others(
+    network: FakeNetwork,
+) -> None:
+    """Its hosts would send a crasher that the other domains know."""
+    await network.start(60, 3)
+    await seconds_until_known(network)
+    some = network.hosts[SEED]
+    some.suspects.report_crash(b'f' * 12, 'server/1', some.clock())
+    lost = [
+        gossip.member_list.own
+        for gossip in network.hosts.values()
+        if gossip.member_list.own.failure_domain == 'domain-1'
+    ]
+    for member in lost:
+        await network.hosts.pop(member.address).stop()
+    for member in lost:
+        await network.start_host(member)
+    await seconds_until_caught_up(network)
+    hosts = [network.hosts[member.address] for member in lost]
+    starting = [gossip.is_fleet_starting for gossip in hosts]
+    told = [gossip.told_suspects for gossip in hosts]
+    assert_that(any(starting), Equals(False))
+    assert_that(all(told), Equals(True))
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -410,9 +410,22 @@
             wait_s = first_start_wait_s or self.peer_view_wait_s()
             if self.clock() - started_at >= wait_s:
                 return
+            if not self.settings.first_start and self.reads_early:
+                return
             await sleep(PEER_VIEW_POLL_INTERVAL_S)
         self.read_schedule.stand_by()
 
+    @property
+    def reads_early(self) -> bool:
+        """Whether this host reads the store at once, as no host has a view.
+
+        The first in the order of readers does, as after a loss of power; its
+        update has the others ask for its view.
+        """
+        if not self.gossip.is_view_unknown:
+            return False
+        return self.reader_rank() == 0
+
     def peer_view_wait_s(self) -> float:
         """Returns how long to wait for the view of another host, in seconds.
 
