Split the callers' connection by responsibility

requestreceiver.py parses requests and checks their sizes, pacedinput.py parses input in slices, exchangequeue.py handles requests and orders the responses, callerconnection.py keeps lifetime, timeouts and rejection, listenerstate.py and callerserver.py hold what connections share.

--- a/cowslipmill/host/callergate.py
+++ b/cowslipmill/host/callergate.py
@@ -15,7 +15,7 @@
 
 from prometheus_client import Counter
 
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
 
 LOG = getLogger(__name__)
 
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -32,8 +32,8 @@
 from cowslipmill.host.settings import Address
 from cowslipmill.host.settings import HostSettings
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.pool import ConnectionPool
--- a/cowslipmill/host/tests/test_callergate.py
+++ b/cowslipmill/host/tests/test_callergate.py
@@ -24,7 +24,7 @@
 from cowslipmill.host.tests.conftest import HOST_HEADER
 from cowslipmill.host.tests.measuredhost import MeasuredHost
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import open_connection
--- a/cowslipmill/host/tests/test_relays.py
+++ b/cowslipmill/host/tests/test_relays.py
@@ -25,9 +25,9 @@
 from cowslipmill.host.tests.test_partition import count_served
 from cowslipmill.host.tests.test_partition import partition
 from cowslipmill.host.tests.test_partition import send_requests
-from cowslipmill.http1.callerconnection import REQUEST_BYTES
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.requestreceiver import REQUEST_BYTES
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.relays import relayserver
 from cowslipmill.relays.messages import AskRelay
--- a/cowslipmill/host/tests/test_reviewed.py
+++ b/cowslipmill/host/tests/test_reviewed.py
@@ -23,8 +23,8 @@
 from cowslipmill.host.tests.conftest import HOST_HEADER
 from cowslipmill.host.tests.virtualtime import delay_event_loop
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.tests.test_memory import Sink
--- a/cowslipmill/http1/tests/test_callerconnection.py
+++ b/cowslipmill/http1/tests/test_callerconnection.py
@@ -17,8 +17,8 @@
 from testtools.matchers import StartsWith
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 
--- a/cowslipmill/http1/tests/test_chunkpacer.py
+++ b/cowslipmill/http1/tests/test_chunkpacer.py
@@ -13,7 +13,7 @@
 from testtools.matchers import Equals
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
 from cowslipmill.http1.chunkpacer import FREE_CHUNKS
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
--- a/cowslipmill/http1/tests/test_oddbytes.py
+++ b/cowslipmill/http1/tests/test_oddbytes.py
@@ -16,8 +16,8 @@
 from testtools.matchers import Equals
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerServer
-from cowslipmill.http1.callerconnection import SLICE_BYTES
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import SLICE_BYTES
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.tests.test_chunkpacer import PausedSink
--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -23,12 +23,13 @@
 from testtools.matchers import StartsWith
 
 from cowslipmill.http1 import callerconnection
+from cowslipmill.http1 import exchangequeue
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
-from cowslipmill.http1.callerconnection import CONNECTION_BYTES
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.requestreceiver import CONNECTION_BYTES
 from cowslipmill.memory.budget import MemoryBudget
 
 LIMITS = CallerLimits(1_000, 5_000, 3.0, 15.0)
@@ -188,7 +189,7 @@
     caller: Caller, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """In one read, so that nothing may be done in a recursion."""
-    monkeypatch.setattr(callerconnection, 'PIPELINED_S', 0.0)
+    monkeypatch.setattr(exchangequeue, 'PIPELINED_S', 0.0)
     caller.work_s = 0.0
     caller.writer.write(make_request(b'1', UPGRADE % b'x') * 2_000)
     answers = await caller.receive(2_000)
--- a/cowslipmill/http1/tests/test_slices.py
+++ b/cowslipmill/http1/tests/test_slices.py
@@ -15,9 +15,9 @@
 from testtools.matchers import StartsWith
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerServer
-from cowslipmill.http1.callerconnection import MAX_PIPELINED
-from cowslipmill.http1.callerconnection import TURN_S
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.exchangequeue import MAX_PIPELINED
+from cowslipmill.http1.listenerstate import TURN_S
 from cowslipmill.http1.tests.test_chunkpacer import HEAD
 from cowslipmill.http1.tests.test_chunkpacer import PausedSink
 from cowslipmill.http1.tests.test_chunkpacer import respond
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -18,9 +18,9 @@
 from cowslipmill.forwarding.directsender import DirectSender
 from cowslipmill.forwarding.requestcontext import OutgoingRequest
 from cowslipmill.forwarding.sendresult import Lost
-from cowslipmill.http1.callerconnection import REQUEST_BYTES
 from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Request
+from cowslipmill.http1.requestreceiver import REQUEST_BYTES
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
--- a/cowslipmill/runtime/tests/test_readsize.py
+++ b/cowslipmill/runtime/tests/test_readsize.py
@@ -13,8 +13,8 @@
 from testtools.matchers import Equals
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 from cowslipmill.http1.serverconnection import ServerConnection
--- a/cowslipmill/standin/store.py
+++ b/cowslipmill/standin/store.py
@@ -12,8 +12,8 @@
 from urllib.parse import parse_qs
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
 
