--- a/cowslipmill/http1/tests/conftest.py
+++ b/cowslipmill/http1/tests/conftest.py
@@ -2,9 +2,11 @@
 
 from collections.abc import AsyncIterator
 
+import pytest
 import pytest_asyncio
 
 from cowslipmill.http1.message import Request
+from cowslipmill.http1.tests.pipeline import Pipeline
 from cowslipmill.standin.backend import StandinBackend
 
 
@@ -26,3 +28,9 @@
     await backend.start()
     yield backend
     backend.stop()
+
+
+@pytest.fixture
+async def pipeline() -> Pipeline:
+    """Opens a connection."""
+    return Pipeline()
