--- a/cowslipmill/http1/tests/test_oddrequests.py
+++ b/cowslipmill/http1/tests/test_oddrequests.py
@@ -23,12 +23,14 @@
 from testtools.matchers import StartsWith
 
 from cowslipmill.http1 import callerconnection
+from cowslipmill.http1 import exchangequeue
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerLimits
-from cowslipmill.http1.callerconnection import CallerServer
-from cowslipmill.http1.callerconnection import CONNECTION_BYTES
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.exchange import Exchange
+from cowslipmill.http1.listenerstate import CallerLimits
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.requestreceiver import CONNECTION_BYTES
 from cowslipmill.memory.budget import MemoryBudget
 
 LIMITS = CallerLimits(1_000, 5_000, 3.0, 15.0)
@@ -65,7 +67,7 @@
         self.writer: StreamWriter
 
     async def handle(
-        self, request: Request, connection: CallerConnection
+        self, request: Request, exchange: Exchange
     ) -> Response | None:
         """Responds with the request's target and body after a while."""
         self.handled.append(request)
@@ -188,7 +190,7 @@
     caller: Caller, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """In one read, so that nothing may be done in a recursion."""
-    monkeypatch.setattr(callerconnection, 'PIPELINED_S', 0.0)
+    monkeypatch.setattr(exchangequeue, 'PIPELINED_S', 0.0)
     caller.work_s = 0.0
     caller.writer.write(make_request(b'1', UPGRADE % b'x') * 2_000)
     answers = await caller.receive(2_000)
@@ -366,7 +368,7 @@
     """Whoever cancels the task itself wants it to end."""
     await caller.send(make_request(b'1'))
     (connection,) = caller.server.connections
-    task = connection.task
+    task = connection.started[0].task
     assert task is not None
     task.cancel()
     await sleep(PAUSE_S)
--- a/cowslipmill/http1/tests/test_slices.py
+++ b/cowslipmill/http1/tests/test_slices.py
@@ -15,9 +15,9 @@
 from testtools.matchers import StartsWith
 
 from cowslipmill.http1.callerconnection import CallerConnection
-from cowslipmill.http1.callerconnection import CallerServer
-from cowslipmill.http1.callerconnection import MAX_PIPELINED
-from cowslipmill.http1.callerconnection import TURN_S
+from cowslipmill.http1.callerserver import CallerServer
+from cowslipmill.http1.exchangequeue import MAX_PIPELINED
+from cowslipmill.http1.listenerstate import TURN_S
 from cowslipmill.http1.tests.test_chunkpacer import HEAD
 from cowslipmill.http1.tests.test_chunkpacer import PausedSink
 from cowslipmill.http1.tests.test_chunkpacer import respond
@@ -178,8 +178,8 @@
     body = b'y' * (READ_BYTES - 1_000)
     sink.protocol.data_received(make_request(b'a', b'', body))
     assert_that(sink.protocol.rest, Equals(b''))
-    assert_that(len(sink.protocol.pending), Equals(1))
-    assert_that(type(sink.protocol.pending[0].body), Equals(bytes))
+    (exchange,) = sink.protocol.started
+    assert_that(type(exchange.request.body), Equals(bytes))
 
 
 async def test_many_requests_in_one_read_are_all_answered(
@@ -193,7 +193,8 @@
     sink.protocol.data_received(b''.join(requests))
     most = 0
     for _ in range(TURNS):
-        most = max(most, len(sink.protocol.pending))
+        protocol = sink.protocol
+        most = max(most, len(protocol.started) + len(protocol.waiting))
         await sleep(0)
     assert_that(sink.sent.count(b'HTTP/1.1 200'), Equals(count))
     assert_that(most, LessThan(5 * MAX_PIPELINED))
