Read warm-up limits and how long servers stay cold

Cause: a cold server crashes well above the rate that its service's WarmupPerS names, and hosts knew neither that rate nor when a server that was warm turns cold again.

Change: Service.warm_up_per_s holds WarmupPerS (0 if absent). A health response's X-Warmup-Ms becomes Load.warm_up_s; a value that can't be read counts as none and is logged. The view keeps until when each server is cold by its newest entry.

--- a/cowslipmill/leasing/load.py
+++ b/cowslipmill/leasing/load.py
@@ -14,6 +14,7 @@
         healthy: Whether the server considers itself healthy.
         reported: Whether the server reported its load; False if its response
             held none and the values are defaults.
+        warm_up_s: Seconds for which it stays cold.
     """
 
     running: int
@@ -22,3 +23,4 @@
     slowdown: float
     healthy: bool = True
     reported: bool = True
+    warm_up_s: float = 0.0
--- a/cowslipmill/platform/configuration.py
+++ b/cowslipmill/platform/configuration.py
@@ -78,6 +78,7 @@
         name=read_name(fields),
         health_path=read_string(fields, 'HealthPath'),
         max_connections=read_integer(fields, 'MaxConnections', minimum=1),
+        warm_up_per_s=read_number(fields, 'WarmupPerS'),
     )
 
 
--- a/cowslipmill/platform/headercodec.py
+++ b/cowslipmill/platform/headercodec.py
@@ -26,7 +26,9 @@
 from cowslipmill.platform.headers import SERVER_LOAD
 from cowslipmill.platform.headers import SERVER_NAME
 from cowslipmill.platform.headers import SIGNATURE
+from cowslipmill.platform.headers import WARM_UP
 from cowslipmill.platform.load import read_load
+from cowslipmill.platform.serverentry import MAX_WARM_UP_MS
 from cowslipmill.view.server import ServerRecord
 
 LOG = getLogger(__name__)
@@ -214,6 +216,7 @@
 
         If the response reports no load, a load of zero is returned, marked
         as not reported, with the slots of the server's entry in the store.
+        A warm-up time that can't be read counts as none.
         """
         name = response.header(SERVER_NAME)
         if name and name != server.name.encode():
@@ -221,7 +224,11 @@
         load = read_load(response.header(SERVER_LOAD))
         if load is None:
             load = Load(0, 0, server.slots, 1.0, reported=False)
-        return replace(load, healthy=response.status == 200)
+        return replace(
+            load,
+            healthy=response.status == 200,
+            warm_up_s=read_warm_up_s(response.header(WARM_UP)),
+        )
 
     def is_from_server(self, response: Response) -> bool:
         """Returns whether a server sent a response to a health request.
@@ -248,6 +255,33 @@
         return Response(status, headers, b'')
 
 
+def read_warm_up_s(text: bytes) -> float:
+    """Returns how long a server stays cold.
+
+    Args:
+        text: Value of the header, in milliseconds; empty if there is none.
+
+    Returns:
+        Seconds; 0 if the text is empty or is no such time.
+    """
+    if not text:
+        return 0.0
+    try:
+        warm_up_ms = float(text)
+    except ValueError:
+        warm_up_ms = nan
+    if not 0.0 <= warm_up_ms <= MAX_WARM_UP_MS:
+        LOG.warning(
+            'header not usable',
+            extra={
+                'field': WARM_UP.decode(),
+                'reason': f'not a time in milliseconds: {text[:40]!r}',
+            },
+        )
+        return 0.0
+    return warm_up_ms / 1000
+
+
 def read_retry_after(text: str, now_s: float) -> float:
     """Returns the seconds that a Retry-After asks for.
 
--- a/cowslipmill/platform/headers.py
+++ b/cowslipmill/platform/headers.py
@@ -8,6 +8,8 @@
 # Name of the intended server; any other server refuses to execute the request.
 EXPECTED_SERVER = b'x-expect-instance'
 SERVER_LOAD = b'x-server-load'
+# How long the server stays cold, in milliseconds; in health responses.
+WARM_UP = b'x-warmup-ms'
 # Requests a second that the server accepts from all hosts together.
 SERVER_LIMIT = b'server-limit'
 # `1` if the server stops soon and wants no new requests.
--- a/cowslipmill/platform/tests/test_boundary.py
+++ b/cowslipmill/platform/tests/test_boundary.py
@@ -11,6 +11,7 @@
 ROOT = Path(cowslipmill.__file__).parent
 PLATFORM_NAMES = re.compile(
     r'TrafficSplit|TargetLatencyMs|TimeoutMs|WarmupLeftMs|MaxAttempts|'
+    r'WarmupPerS|[Xx]-[Ww]armup-[Mm]s|'
     r'HealthPath|SeedLagS|GraceS|BudgetSlack|RetryBudgetRatio|CurrentRev|'
     r'AllowStale|[Xx]-[Ss]erver-[Ll]oad|[Xx]-[Dd]eadline-[Mm]s|'
     r'[Xx]-[Nn]ot-[Ee]xecuted|[Xx]-[Ee]xpect-[Ii]nstance|kv-range|'
--- a/cowslipmill/platform/tests/test_configuration.py
+++ b/cowslipmill/platform/tests/test_configuration.py
@@ -60,3 +60,27 @@
         str(caught.value),
         Equals("Kind: 'stream' of route 'first' is not known"),
     )
+
+
+@pytest.mark.parametrize(
+    ('fields', 'per_s'), [({}, 0.0), ({'WarmupPerS': 3.6}, 3.6)]
+)
+def test_a_service_may_limit_requests_to_cold_servers(
+    fields: dict[str, Any], per_s: float
+) -> None:
+    """Cold servers would get more than they withstand, or less for nothing."""
+    configuration: dict[str, Any] = make_test_configuration(1)
+    configuration['Services'][0].update(fields)
+    decoded = decode_configuration(dumps(configuration).encode())
+    assert_that(decoded.services[0].warm_up_per_s, Equals(per_s))
+
+
+@pytest.mark.parametrize('value', [-1, 'fast', None, True])
+def test_a_limit_of_cold_servers_that_is_no_rate_is_rejected(
+    value: object,
+) -> None:
+    """A version with a slip would lift the limit of the last one."""
+    configuration: dict[str, Any] = make_test_configuration(1)
+    configuration['Services'][0]['WarmupPerS'] = value
+    with pytest.raises(InvalidField):
+        decode_configuration(dumps(configuration).encode())
--- a/cowslipmill/platform/tests/test_headercodec.py
+++ b/cowslipmill/platform/tests/test_headercodec.py
@@ -12,6 +12,7 @@
 from cowslipmill.platform.headercodec import MAX_PAUSE_S
 from cowslipmill.platform.headercodec import PlatformHeaderCodec
 from cowslipmill.platform.load import read_load
+from cowslipmill.platform.serverentry import MAX_WARM_UP_MS
 from cowslipmill.view.tests.conftest import make_record
 
 SIGNED = [(b'x-response-signature', b'1.2')]
@@ -150,3 +151,43 @@
     request = Request(b'GET', b'/', [(b'x-deadline-ms', text)], b'')
     headers = PlatformHeaderCodec().parse_caller_headers(request)
     assert_that(headers.timeout_s, Equals(None))
+
+
+@pytest.mark.parametrize(
+    ('text', 'warm_up_s', 'lines'),
+    [
+        (b'2500', 2.5, 0),
+        (b'0', 0.0, 0),
+        (b'12.5', 0.0125, 0),
+        (b'', 0.0, 0),
+        (b'-1', 0.0, 1),
+        (b'soon', 0.0, 1),
+        (b'nan', 0.0, 1),
+        (b'inf', 0.0, 1),
+        (b'9' * 400, 0.0, 1),
+    ],
+)
+def test_a_health_response_tells_how_long_a_server_stays_cold(
+    caplog: pytest.LogCaptureFixture,
+    text: bytes,
+    warm_up_s: float,
+    lines: int,
+) -> None:
+    """A value that can't be read must not lock a server, and is logged."""
+    headers = [(b'x-server-load', b'0,0,2'), (b'x-warmup-ms', text)]
+    load = HEADER_CODEC.decode_health(
+        Response(200, headers, b''), make_record()
+    )
+    assert load is not None
+    assert_that(load.warm_up_s, Equals(warm_up_s))
+    messages = [record.getMessage() for record in caplog.records]
+    assert_that(messages, Equals(['header not usable'] * lines))
+
+
+@given(st.binary(max_size=40))
+def test_no_warm_up_time_of_a_server_is_an_error(value: bytes) -> None:
+    """An exception would end the probe and leave the server without load."""
+    response = Response(200, [(b'x-warmup-ms', value)], b'')
+    load = HEADER_CODEC.decode_health(response, make_record())
+    assert load is not None
+    assert 0.0 <= load.warm_up_s <= MAX_WARM_UP_MS / 1000
--- a/cowslipmill/view/configuration.py
+++ b/cowslipmill/view/configuration.py
@@ -53,11 +53,14 @@
         health_path: Path of the request for a server's health and load.
         max_connections: Connections that one server accepts from all hosts
             together.
+        warm_up_per_s: Requests a second that a cold server withstands; 0 if
+            it needs no limit.
     """
 
     name: str
     health_path: str
     max_connections: int
+    warm_up_per_s: float = 0.0
 
 
 class Limits(Struct, frozen=True, array_like=True):
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -175,7 +175,8 @@
         may reach the store after the first one of its successor, which keeps
         sending its own. A missing server's entry is applied whatever its
         incarnation, unless it is of an older copy of the store, which can't
-        bring a server back that has left.
+        bring a server back that has left. An entry that differs only in its
+        warm-up counts as a change if the server has turned cold.
         """
         record = event.record
         if self.removed_revisions.get(record.name, 0) >= event.revision:
@@ -189,10 +190,12 @@
             if len(self.servers) >= MAX_SERVERS:
                 LOG.warning('too many servers', extra={'server': record.name})
                 return False
-            self.servers[record.name] = KnownServer(record, event.revision)
+            self.servers[record.name] = KnownServer(
+                record, event.revision, now
+            )
             return True
         if event.revision == known.revision:
-            return self.apply_known_entry(known, record)
+            return self.apply_known_entry(known, record, now)
         if event.revision < known.revision:
             return False
         new_era = era_of(event.revision) > era_of(known.revision)
@@ -205,14 +208,15 @@
             leaving = record.leaving or known.record.leaving
             record = replace(record, leaving=leaving)
         same = replace(known.record, warm_up_s=record.warm_up_s) == record
-        changed = missing or not same
+        changed = missing or not same or known.turns_cold(record, now)
         known.missing_since = None
+        known.cold_until = now + record.warm_up_s
         if changed:
             known.record = record
         return changed
 
     def apply_known_entry(
-        self, known: KnownServer, record: ServerRecord
+        self, known: KnownServer, record: ServerRecord, now: float
     ) -> bool:
         """Applies what another host makes of the entry that is known here.
 
@@ -224,6 +228,8 @@
         if record.started_ms == known.record.started_ms:
             if known.record.leaving or not record.leaving:
                 return False
+        else:
+            known.cold_until = now + record.warm_up_s
         known.record = record
         return True
 
@@ -375,7 +381,7 @@
             age_s=now - self.synced_at,
             configuration=packed,
             servers=tuple(
-                (known.record, known.revision)
+                (known.record_at(now), known.revision)
                 for known in self.servers.values()
                 if known.missing_since is None and known.revision > since
             ),
