Limit the requests granted at servers that warm up

Change: leasing/warmup.py keeps until when a server is cold, by its entry or its last health response, whichever is longer, and limits its grants by a token bucket. The bucket counts grants at the warm server as well, as a debt of at most one second, so that a window that ends with a grant at the cold server is within the limit. leasing/grantlimits.py takes the shares by rank out of the lease manager and sets both limits; that of cold servers needs no rate limit of a server. The lower one counts. Wait estimates take cold servers for rate-limited ones. At limited services, a report that isn't from right now counts for one request only. Without WarmupPerS, a cold server counts as twice as slow by its first entry, as before. Log line 'server warming up' and gauge cowslipmill_host_cold_servers.

--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -367,6 +367,7 @@
     ) -> Response:
         """Handles a scrape: returns all metrics in Prometheus' text format."""
         self.memory.update_metrics()
+        self.lease_manager.update_metrics()
         headers = [(b'content-type', b'text/plain; version=0.0.4')]
         return Response(200, headers, generate_latest())
 
--- a/cowslipmill/leasing/estimate.py
+++ b/cowslipmill/leasing/estimate.py
@@ -37,7 +37,7 @@
         now: Monotonic seconds.
     """
     duration_s = processing_s
-    if now < server.cold_until:
+    if now < server.warm_up.slow_until:
         duration_s *= COLD_FACTOR
     if server.load is not None:
         duration_s *= server.load.slowdown
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -17,6 +17,7 @@
 from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.leasing.coordinator import Coordinator
 from cowslipmill.leasing.coordinator import Reply
+from cowslipmill.leasing.grantlimits import GrantLimits
 from cowslipmill.leasing.leaseclient import LeaseClient
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
@@ -26,12 +27,11 @@
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.leasing.prober import Prober
-from cowslipmill.leasing.ratelimits import COORDINATOR_SHARES
-from cowslipmill.leasing.ratelimits import MIN_LIMIT_PER_S
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.requirements import Requirements
 from cowslipmill.leasing.scheduler import SlotScheduler
 from cowslipmill.leasing.serverpauses import ServerPauses
+from cowslipmill.leasing.warmup import COLD_SERVERS
 from cowslipmill.paths.pathchecker import PathChecker
 from cowslipmill.runtime.names import BoundedDict
 from cowslipmill.view.server import ServerRecord
@@ -64,6 +64,7 @@
         rpc: Calls between hosts.
         prober: Probes servers for their load.
         rate_limits: The rate limits that servers name.
+        grant_limits: Limits the grants of this host's coordinators.
         pauses: Servers that want nothing from this host for a time.
         checker: Checks the paths to servers.
         client: Requests leases from coordinators on other hosts.
@@ -89,6 +90,7 @@
         self.checker = checker
         self.no_path_until: dict[tuple[str, str, str], float] = BoundedDict()
         self.rate_limits: RateLimits = prober.rate_limits
+        self.grant_limits = GrantLimits(view, member_list, self.rate_limits)
         self.pauses: ServerPauses = prober.pauses
         self.client = LeaseClient(member_list, rpc, clock, self.release_late)
         self.clock = clock
@@ -126,8 +128,9 @@
         if self.synced_generations.get(key) != self.view.generation:
             self.synced_generations[key] = self.view.generation
             self.update_servers(coordinator, service, failure_domain)
-        if self.rate_limits.known:
-            self.apply_rate_limits(coordinator, service, failure_domain)
+        self.grant_limits.apply(
+            coordinator.scheduler, service, failure_domain, self.clock()
+        )
         if self.pauses.known:
             for server in coordinator.scheduler.servers.values():
                 server.pause(self.pauses.ends_at(server.record))
@@ -145,61 +148,21 @@
             if key[0] not in self.view.services and not coordinator.waiters:
                 del self.coordinators[key]
                 self.synced_generations.pop(key, None)
-
-    def apply_rate_limits(
-        self, coordinator: Coordinator, service: str, failure_domain: str
-    ) -> None:
-        """Limits the grants of a coordinator to its share of the limits."""
-        share, max_tokens = self.coordinator_share(service, failure_domain)
-        now = self.clock()
-        for server in coordinator.scheduler.servers.values():
-            per_s = self.rate_limits.per_s(
-                server.name, server.record.started_ms
-            )
-            if per_s is not None:
-                per_s = share * max(MIN_LIMIT_PER_S, per_s)
-            server.limit_rate(per_s, max_tokens, now)
-
-    def coordinator_share(
-        self, service: str, failure_domain: str
-    ) -> tuple[float, float]:
-        """Returns this host's share of the limits of a service's servers.
-
-        It depends on the rank of this host alone, not on which hosts it can
-        reach, so that hosts with the same members never use more together
-        than all shares.
-
-        Returns:
-            The share, and the number of requests that may be saved up.
-        """
-        ranked = self.member_list.ranked_states(
-            service, failure_domain, by_capacity=True
-        )
-        if not ranked:
-            ranked = self.member_list.ranked_states(
-                service, '', by_capacity=True
-            )
-        for portion, state in zip(COORDINATOR_SHARES, ranked, strict=False):
-            if state.member.name == self.member_list.own.name:
-                return portion
-        if ranked:
-            return 0.0, 0.0
-        # All hosts are leaving, and each one coordinates for itself.
-        share, _ = COORDINATOR_SHARES[0]
-        return share / len(self.member_list.states), 1.0
+                self.grant_limits.warm_up_limits.pop(key, None)
 
     def update_servers(
         self, coordinator: Coordinator, service: str, failure_domain: str
     ) -> None:
         """Sets a coordinator's servers and health path by the view."""
+        now = self.clock()
         servers = self.view.available_servers(service)
         coordinator.scheduler.set_servers(
             (
-                (entry.record, entry.missing_since is not None)
+                (entry.record_at(now), entry.missing_since is not None)
                 for entry in servers
                 if entry.record.failure_domain == failure_domain
             ),
-            self.clock(),
+            now,
         )
         coordinator.scheduler.other_domains_available = (
             failure_domain == self.domain
@@ -212,6 +175,17 @@
         if service_settings is not None:
             coordinator.health_path = service_settings.health_path
 
+    def update_metrics(self) -> None:
+        """Sets the gauge to the cold servers of this host's coordinators."""
+        now = self.clock()
+        COLD_SERVERS.set(
+            sum(
+                server.warm_up.is_cold(now)
+                for coordinator in self.coordinators.values()
+                for server in coordinator.scheduler.servers.values()
+            )
+        )
+
     async def acquire(self, requirements: Requirements) -> Grant | Refusal:
         """Acquires a lease for a request.
 
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -122,8 +122,9 @@
         """Sets the servers; those that restarted begin without history.
 
         Args:
-            records: Servers that take new requests, each with whether its
-                entry is missing from the store.
+            records: Servers that take new requests, with the warm-up that
+                remains now, each with whether its entry is missing from the
+                store.
             now: Monotonic seconds.
         """
         servers: dict[str, ServerSlots] = {}
@@ -131,8 +132,7 @@
             slots = self.servers.get(record.name)
             if slots is None or (slots.record.started_ms != record.started_ms):
                 slots = ServerSlots(record, now)
-            slots.record = record
-            slots.missing = missing
+            slots.set_record(record, now, missing=missing)
             servers[record.name] = slots
         self.servers = servers
         update_limits([slots.ejection for slots in servers.values()])
@@ -266,12 +266,7 @@
             sent to, or no server at all.
         """
         waits_s = [
-            max(
-                server.paused_until - now,
-                0.0
-                if server.rate_bucket is None
-                else server.rate_bucket.wait_s(now),
-            )
+            max(server.paused_until - now, server.token_wait_s(now))
             for server in self.servers.values()
             if server.name not in request.requirements.excluded
         ]
@@ -382,7 +377,10 @@
         if server.reports_load is False:
             return True
         oldest_sample_at = self.probed_at - FRESH_REPORT_S
-        if now - request.arrived_at > OLDER_REPORT_WAIT_S:
+        if (
+            now - request.arrived_at > OLDER_REPORT_WAIT_S
+            and server.allows_older_report()
+        ):
             oldest_sample_at = min(
                 oldest_sample_at, now - OLDER_REPORT_MAX_AGE_S
             )
@@ -400,8 +398,7 @@
         server.leases[request.key] = Lease(
             now, expires_at, request.requirements.route
         )
-        if server.rate_bucket is not None:
-            server.rate_bucket.spend()
+        server.spend_token(now)
         load = server.load
         return Grant(
             key=request.key,
--- a/cowslipmill/leasing/slots.py
+++ b/cowslipmill/leasing/slots.py
@@ -5,6 +5,7 @@
 from cowslipmill.leasing.leaserequest import LeaseResult
 from cowslipmill.leasing.load import Load
 from cowslipmill.leasing.ratelimits import RateBucket
+from cowslipmill.leasing.warmup import WarmUp
 from cowslipmill.runtime.backoff import doubled
 from cowslipmill.view.server import ServerRecord
 
@@ -73,7 +74,6 @@
         load_sampled_at: When the probe for that report was sent.
         released_since_report: Number of leases released after that report
             that the report still counted.
-        cold_until: When it has warmed up.
         blocked_until: When it may be used again after a failure.
         consecutive_blocks: Number of times that it was blocked in a row.
         reports_load: Whether it reports its load; None until it has
@@ -86,6 +86,7 @@
         paused_until: Until when it wants nothing from this host.
         rate_bucket: Limits the grants to the rate that the server named;
             None if it named none.
+        warm_up: How long it stays cold, and the limit of grants until then.
         ejection: Whether it fails more than the other servers.
 
     All times are in monotonic seconds.
@@ -93,7 +94,6 @@
 
     __slots__ = (
         'blocked_until',
-        'cold_until',
         'consecutive_blocks',
         'ejection',
         'failed_probes',
@@ -109,17 +109,23 @@
         'released_since_report',
         'reports_load',
         'slow_since',
+        'warm_up',
     )
 
     def __init__(self, record: ServerRecord, now: float) -> None:
-        """Starts without leases."""
+        """Starts without leases.
+
+        Args:
+            record: The server's entry, with the warm-up that remains now.
+            now: Monotonic seconds.
+        """
         self.record = record
         self.missing = False
         self.leases: dict[LeaseKey, Lease] = {}
         self.load: Load | None = None
         self.load_sampled_at = float('-inf')
         self.released_since_report = 0
-        self.cold_until = now + record.warm_up_s
+        self.warm_up = WarmUp(record, now)
         self.blocked_until = 0.0
         self.paused_until = float('-inf')
         self.consecutive_blocks = 0
@@ -175,9 +181,60 @@
             granted_at = (lease.granted_at for lease in self.leases.values())
             free_leases = self.ejection.free_leases(granted_at, now)
             free_slots = min(free_slots, free_leases)
+        if self.rate_bucket is not None:
+            free_slots = min(free_slots, self.rate_bucket.available(now))
+        warm_up_tokens = self.warm_up.available(now)
+        if warm_up_tokens is not None:
+            free_slots = min(free_slots, warm_up_tokens)
+        return free_slots
+
+    def set_record(
+        self, record: ServerRecord, now: float, *, missing: bool
+    ) -> None:
+        """Sets the server's entry.
+
+        Args:
+            record: The entry, with the warm-up that remains now.
+            now: Monotonic seconds.
+            missing: Whether it has vanished from the store without notice.
+        """
+        self.record = record
+        self.missing = missing
+        self.warm_up.record_entry(record.warm_up_s, now)
+
+    def limited_per_s(self, now: float) -> float | None:
+        """Returns the lower rate of both limits; None if there is none now."""
+        warm_up_per_s = self.warm_up.limited_per_s(now)
         if self.rate_bucket is None:
-            return free_slots
-        return min(free_slots, self.rate_bucket.available(now))
+            return warm_up_per_s
+        if warm_up_per_s is None:
+            return self.rate_bucket.per_s
+        return min(warm_up_per_s, self.rate_bucket.per_s)
+
+    def token_wait_s(self, now: float) -> float:
+        """Returns the seconds until both limits allow a grant."""
+        wait_s = self.warm_up.wait_s(now)
+        if self.rate_bucket is not None:
+            wait_s = max(wait_s, self.rate_bucket.wait_s(now))
+        return wait_s
+
+    def allows_older_report(self) -> bool:
+        """Returns whether its report counts if it isn't from right now.
+
+        The server may have turned cold since. If that matters, the report
+        counts for one request only, since a further one might be granted
+        again and again until the next report.
+        """
+        warm_up = self.warm_up
+        return (
+            warm_up.bucket is None or warm_up.granted_at < self.load_sampled_at
+        )
+
+    def spend_token(self, now: float) -> None:
+        """Counts a grant towards both limits."""
+        if self.rate_bucket is not None:
+            self.rate_bucket.spend()
+        self.warm_up.spend(now)
 
     def limit_rate(
         self, per_s: float | None, max_tokens: float, now: float
@@ -223,6 +280,7 @@
         self.load = load
         self.load_sampled_at = sampled_at
         self.released_since_report = 0
+        self.warm_up.record_report(load.warm_up_s, now)
 
     def release(self, key: LeaseKey) -> Lease | None:
         """Releases a lease and returns it; None if it is not known."""
--- a/cowslipmill/leasing/waitestimator.py
+++ b/cowslipmill/leasing/waitestimator.py
@@ -25,7 +25,8 @@
         fast_share: Moving average of the share of servers that are fast.
         fast_slots: Average number of slots at fast servers without a rate
             limit, at least 1 if there is such a server.
-        limited_per_s: Requests a second that servers with a rate limit get.
+        limited_per_s: Requests a second that servers with a rate limit get,
+            also those whose rate is limited while they warm up.
         updated_at: When both were last updated, in monotonic seconds.
     """
 
@@ -59,12 +60,13 @@
                 and not server.failed_probes
                 and not server.ejection.excluded
             )
-            if server.rate_bucket is None:
+            limited_per_s = server.limited_per_s(now)
+            if limited_per_s is None:
                 unlimited += 1
                 slots += server.usable_slots if usable else 0
             else:
                 limited += 1
-                self.limited_per_s += server.rate_bucket.per_s * usable
+                self.limited_per_s += limited_per_s * usable
             load = server.load
             if (
                 load is not None
--- a/cowslipmill/view/server.py
+++ b/cowslipmill/view/server.py
@@ -7,9 +7,8 @@
 from cowslipmill.runtime.names import LongName
 from cowslipmill.runtime.names import Name
 
-# An entry whose warm-up ends this much later than the one before it tells of
-# another warm-up. Smaller differences come from delays of entries on their
-# way.
+# A report of a warm-up that ends this much later than known tells of another
+# one. Smaller differences come from delays of entries and responses.
 WARM_UP_TOLERANCE_S = 0.25
 
 
