Learn evacuations of failure domains from the store

Cause: hosts ignored the operator's key op/evacuate/ZONE. Change: the store API turns the key into EvacuationChanged, whatever its value is. Updates of the previous build say nothing of evacuations; a host reads the store itself after them, from the revision up to which it knows evacuations. Keys are cut only where an invalid entry is kept, since a part of a name is another name.

--- a/cowslipmill/fleet/gossip.py
+++ b/cowslipmill/fleet/gossip.py
@@ -34,6 +34,7 @@
 from cowslipmill.suspects.suspects import SuspectRequests
 from cowslipmill.view.change import ConfigurationChange
 from cowslipmill.view.events import ConfigurationUpdated
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import StoreEvent
 from cowslipmill.view.packed import PackedConfiguration
 from cowslipmill.view.reader import ReadResult
@@ -529,17 +530,27 @@
         """Applies an update from the host that reads the store.
 
         If the update doesn't continue from this view, its events are applied
-        all the same, and a snapshot from the sender fills the gap.
+        all the same, and a snapshot from the sender fills the gap. An update
+        holds all evacuations, unless it is from a host of an older build or
+        has passed through one.
         """
         now = self.clock()
+        synced_at = now - message.age_s
+        until = message.evacuations_until
         has_gap = message.since > self.view.revision
         events, inapplicable = self.decode_events(message)
+        events += self.view.evacuations.events_of_list(
+            message.evacuations, until
+        )
         has_gap = has_gap or inapplicable
         applied = self.view.apply_events(events, now)
         if has_gap:
             self.view.record_gap(message.revision)
+            self.view.evacuations.advance(until, synced_at)
         else:
-            self.view.advance(message.revision, now - message.age_s)
+            self.view.advance(
+                message.revision, synced_at, evacuations_until=until
+            )
         self.relay(message)
         self.on_events(applied, sender)
         self.on_store_reader(message.reader)
@@ -607,10 +618,16 @@
         return bool(ranking) and ranking[0].name == own.name
 
     def publish(self, result: ReadResult) -> None:
-        """Broadcasts what this host has read from the store."""
+        """Broadcasts what this host has read from the store.
+
+        Evacuations aren't among the events, which hosts of older builds have
+        to decode.
+        """
         age_s = round(self.clock() - self.view.synced_at, 4)
         events: list[NewsEvent] = []
         for event in result.updates:
+            if isinstance(event, EvacuationChanged):
+                continue
             if not isinstance(event, ConfigurationUpdated):
                 events.append(event)
             elif update := self.configuration_update():
@@ -622,6 +639,8 @@
             tuple(events),
             self.member_list.own.name,
             relay=False,
+            evacuations=tuple(self.view.evacuations.changes.values()),
+            evacuations_until=self.view.evacuations.known_until,
         )
         self.broadcast(message)
 
--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -19,6 +19,7 @@
 from cowslipmill.runtime.names import Name
 from cowslipmill.suspects.record import Summary
 from cowslipmill.view.change import ConfigurationChange
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import ServerRemoved
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.packed import PackedConfiguration
@@ -121,6 +122,11 @@
         events: The changes of the configuration and of servers.
         reader: Name of the host that read the store.
         relay: Whether the receiver passes it on in its failure domain.
+        evacuations: The newest change of each failure domain's evacuation,
+            also those before `since`.
+        evacuations_until: Store revision up to which the reader knows all
+            evacuations; 0 if a host of an older build has read the store or
+            passed the update on.
     """
 
     since: int
@@ -129,6 +135,8 @@
     events: tuple[NewsEvent, ...]
     reader: Name
     relay: bool
+    evacuations: tuple[EvacuationChanged, ...] = ()
+    evacuations_until: int = 0
 
 
 class AskSnapshot(Struct, frozen=True, array_like=True, tag='ask-snapshot'):
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -380,7 +380,7 @@
         while not self.should_stop:
             now = self.clock()
             next_read_at = self.read_schedule.next_read_at(
-                self.view.synced_at, self.reader_rank()
+                self.view.complete_at, self.reader_rank()
             )
             if now < next_read_at:
                 await sleep(min(next_read_at - now, HOUSEKEEPING_INTERVAL_S))
--- a/cowslipmill/platform/storeapi.py
+++ b/cowslipmill/platform/storeapi.py
@@ -15,9 +15,11 @@
 from cowslipmill.platform.fields import require_encodable
 from cowslipmill.platform.headers import STORE_ERA
 from cowslipmill.platform.serverentry import decode_server
+from cowslipmill.runtime.names import MAX_NAME_CHARACTERS
 from cowslipmill.view.events import ConfigurationUpdated
 from cowslipmill.view.events import EntryChanges
 from cowslipmill.view.events import EntryPage
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import HistoryCompacted
 from cowslipmill.view.events import InvalidEntry
 from cowslipmill.view.events import ServerRemoved
@@ -31,11 +33,14 @@
 WATCH_PATH = '/api/kv-watch'
 CONFIGURATION_KEY = 'op/config'
 SERVER_PREFIX = 'servers/'
+# The failure domain follows; the key is there while it is evacuated.
+EVACUATION_PREFIX = 'op/evacuate/'
 GONE_STATUS = 410
 MAX_ERA = 2**18
 MAX_ERA_DIGITS = 6
-# How much of a key that can't be used is kept.
-MAX_KEY_CHARACTERS = 200
+# How much of a key that can't be used is kept: at least a prefix and the
+# longest name, since the entry of a known server is recognised by its name.
+MAX_KEY_CHARACTERS = 256
 
 
 class PlatformStoreApi:
@@ -174,11 +179,12 @@
     invalid: list[InvalidEntry] = []
     for item in items:
         key = item.get('Key')
-        key = key[:MAX_KEY_CHARACTERS] if isinstance(key, str) else ''
+        key = key if isinstance(key, str) else ''
         try:
             event = decode_entry(key, item, era)
         except InvalidField as error:
-            invalid.append(InvalidEntry(key, error.field, error.reason))
+            kept = key[:MAX_KEY_CHARACTERS]
+            invalid.append(InvalidEntry(kept, error.field, error.reason))
             continue
         if event is not None:
             events.append(event)
@@ -196,6 +202,10 @@
     removed = item.get('Removed') is True
     if key == CONFIGURATION_KEY and not removed:
         return ConfigurationUpdated(decode_configuration(decode_value(item)))
+    if key.startswith(EVACUATION_PREFIX):
+        # The key alone states it: a value that can't be read counts, too.
+        name = read_failure_domain(key.removeprefix(EVACUATION_PREFIX))
+        return EvacuationChanged(name, revision, not removed)
     if not key.startswith(SERVER_PREFIX):
         return None
     name = key.removeprefix(SERVER_PREFIX)
@@ -204,6 +214,19 @@
     return ServerUpdated(decode_server(name, decode_value(item)), revision)
 
 
+def read_failure_domain(name: str) -> str:
+    """Returns the name of a failure domain that is part of a key.
+
+    Raises:
+        InvalidField: If it is empty or too long to be sent to other hosts.
+    """
+    if not name:
+        raise InvalidField('Key', 'names no failure domain')
+    if len(name) > MAX_NAME_CHARACTERS:
+        raise InvalidField('Key', 'too long')
+    return name
+
+
 def decode_value(item: JsonObject) -> bytes:
     """Returns the value of an entry.
 
--- a/cowslipmill/platform/tests/test_boundary.py
+++ b/cowslipmill/platform/tests/test_boundary.py
@@ -14,7 +14,8 @@
     r'HealthPath|SeedLagS|GraceS|BudgetSlack|RetryBudgetRatio|CurrentRev|'
     r'AllowStale|[Xx]-[Ss]erver-[Ll]oad|[Xx]-[Dd]eadline-[Mm]s|'
     r'[Xx]-[Nn]ot-[Ee]xecuted|[Xx]-[Ee]xpect-[Ii]nstance|kv-range|'
-    r'[Xx]-[Rr]esponse-[Ss]ignature|[Xx]-[Rr]equest-[Ii]d|op/config'
+    r'[Xx]-[Rr]esponse-[Ss]ignature|[Xx]-[Rr]equest-[Ii]d|'
+    r'op/config|op/evacuate'
 )
 
 
--- a/cowslipmill/platform/tests/test_storeapi.py
+++ b/cowslipmill/platform/tests/test_storeapi.py
@@ -22,8 +22,10 @@
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import make_frame_codec
 from cowslipmill.platform.storeapi import PlatformStoreApi
+from cowslipmill.runtime.names import MAX_NAME_CHARACTERS
 from cowslipmill.view.events import EntryChanges
 from cowslipmill.view.events import EntryPage
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import StoreUnavailable
 
 API = PlatformStoreApi('store')
@@ -40,6 +42,8 @@
     'born': 5,
 }
 
+LONGEST_NAME = 'd' * MAX_NAME_CHARACTERS
+
 json_values = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -71,8 +75,17 @@
 
 def assert_other_hosts_can_read(changes: EntryChanges) -> None:
     """Sends the changes as the host that reads the store does."""
-    events: Any = changes.events
-    news = News(1, 9, 0.0, events, 'host-1', False)
+    events: Any = tuple(
+        event
+        for event in changes.events
+        if not isinstance(event, EvacuationChanged)
+    )
+    evacuations = tuple(
+        event
+        for event in changes.events
+        if isinstance(event, EvacuationChanged)
+    )
+    news = News(1, 9, 0.0, events, 'host-1', False, evacuations, 9)
     raw = CODEC.frame_codec.encode(Frame(FrameKind.NOTIFICATION, 0, news))
     assert_that(CODEC.frame_codec.decode(raw), IsInstance(Frame))
 
@@ -158,7 +171,7 @@
 @given(strategies.binary())
 def test_no_bytes_end_a_host(value: bytes) -> None:
     """Values need not be JSON."""
-    for key in ('servers/one', 'op/config'):
+    for key in ('servers/one', 'op/config', 'op/evacuate/domain-a'):
         assert_other_hosts_can_read(read_changes(key, value))
 
 
@@ -170,3 +183,41 @@
         parsed: object = parse(Response(200, [], body))
         expected = (StoreUnavailable, EntryPage, EntryChanges)
         assert isinstance(parsed, expected)
+
+
+@pytest.mark.parametrize('value', [b'{}', b'', b'\xff', NESTED])
+def test_a_key_states_an_evacuation_whatever_its_value(value: bytes) -> None:
+    """An operator's slip in the value would keep the domain in use."""
+    changes = read_changes('op/evacuate/domain-a', value)
+    expected = EvacuationChanged('domain-a', 9, True)
+    assert_that(changes.events, Equals((expected,)))
+    assert_other_hosts_can_read(changes)
+
+
+def test_a_removed_key_ends_an_evacuation() -> None:
+    """Its removal has no value at all."""
+    event = {'Key': 'op/evacuate/a/b', 'Revision': 9, 'Removed': True}
+    body = dumps({'CurrentRev': 9, 'events': [event]}).encode()
+    changes = API.parse_changes(Response(200, [], body))
+    assert isinstance(changes, EntryChanges)
+    expected = EvacuationChanged('a/b', 9, False)
+    assert_that(changes.events, Equals((expected,)))
+
+
+@pytest.mark.parametrize('name', ['', 'a\ud800', LONGEST_NAME + 'd'])
+def test_a_failure_domain_that_can_not_be_told_is_left_out(name: str) -> None:
+    """Other hosts would reject the whole update."""
+    changes = read_changes(f'op/evacuate/{name}', b'{}')
+    invalid = [entry.field for entry in changes.invalid]
+    assert_that((changes.events, invalid), Equals(((), ['Key'])))
+
+
+def test_the_longest_names_are_read_whole() -> None:
+    """A part of the name would be another failure domain or server."""
+    changes = read_changes(f'op/evacuate/{LONGEST_NAME}', b'{}')
+    expected = EvacuationChanged(LONGEST_NAME, 9, True)
+    assert_that(changes.events, Equals((expected,)))
+    assert_other_hosts_can_read(changes)
+    changes = read_changes(f'servers/{LONGEST_NAME}', b'')
+    invalid = [entry.key for entry in changes.invalid]
+    assert_that(invalid, Equals([f'servers/{LONGEST_NAME}']))
--- a/cowslipmill/standin/store.py
+++ b/cowslipmill/standin/store.py
@@ -16,6 +16,7 @@
 from cowslipmill.http1.callerconnection import CallerServer
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.platform.storeapi import EVACUATION_PREFIX
 
 LIMITS = CallerLimits(16_384, 1_048_576, 10.0, 60.0)
 # How long a store that doesn't answer holds a call.
@@ -110,6 +111,14 @@
         removal = {'Key': key, 'Revision': self.revision, 'Removed': True}
         self.record(removal)
 
+    def evacuate(self, failure_domain: str) -> int:
+        """Begins an evacuation and returns the revision of its key."""
+        return self.put(EVACUATION_PREFIX + failure_domain, {})
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Removes the key of an evacuation."""
+        self.remove(EVACUATION_PREFIX + failure_domain)
+
     def record(self, change: Item) -> None:
         """Keeps a change and wakes those who watch."""
         self.history.append(change)
--- a/cowslipmill/view/events.py
+++ b/cowslipmill/view/events.py
@@ -39,7 +39,27 @@
     revision: int
 
 
-StoreEvent = ConfigurationUpdated | ServerUpdated | ServerRemoved
+class EvacuationChanged(
+    Struct, frozen=True, array_like=True, tag='evacuation'
+):
+    """The evacuation of a failure domain began or ended.
+
+    Hosts of older builds can't decode it among the events of an update.
+
+    Attributes:
+        failure_domain: The failure domain.
+        revision: Store revision of the change.
+        active: Whether the evacuation is in force.
+    """
+
+    failure_domain: Name
+    revision: int
+    active: bool
+
+
+StoreEvent = (
+    ConfigurationUpdated | ServerUpdated | ServerRemoved | EvacuationChanged
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowslipmill/view/reader.py
+++ b/cowslipmill/view/reader.py
@@ -18,6 +18,7 @@
 from cowslipmill.memory.budget import MemoryBudget
 from cowslipmill.view.events import EntryChanges
 from cowslipmill.view.events import EntryPage
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import HistoryCompacted
 from cowslipmill.view.events import InvalidEntry
 from cowslipmill.view.events import ServerUpdated
@@ -127,11 +128,14 @@
         Other hosts' updates may have advanced the view beyond this host's
         last read; reading then continues from the view's revision. Falls back
         to a full read if the store has dropped that part of its history or
-        returns fewer changes than there are revisions.
+        returns fewer changes than there are revisions. After updates of hosts
+        of an older build, which tell of no evacuations, it continues from the
+        revision up to which these are known.
         """
-        if not self.view.revision:
+        if not self.view.complete_revision:
             return await self.read_all()
         since = max(self.cursor, self.view.revision)
+        since = min(since, self.view.evacuations.known_until)
         self.cursor = since
         request = self.store.build_changes_request(since, WATCH_S)
         response = await self.call(request, WATCH_S)
@@ -173,7 +177,7 @@
         updates_complete = since > 0 and not view.has_gap
         first_revision = 0
         next_key = ''
-        names: set[str] = set()
+        invalid_names: set[str] = set()
         events: list[StoreEvent] = []
         for _ in range(MAX_PAGES):
             response = await self.call(self.store.build_page_request(next_key))
@@ -185,19 +189,26 @@
             log_invalid(page.invalid)
             first_revision = first_revision or page.revision
             events += page.events
-            # A server whose entry is invalid is not missing. Its name is the
-            # last part of the entry's key.
-            names |= {entry.key.rpartition('/')[2] for entry in page.invalid}
+            # A server whose entry is invalid is not missing, and an evacuation
+            # has not ended. The name is the last part of the entry's key.
+            invalid_names |= {
+                entry.key.rpartition('/')[2] for entry in page.invalid
+            }
             next_key = page.next_key
             if not next_key:
                 break
         else:
             return self.on_store_lost(StoreUnavailable('too many pages'))
-        names |= {
+        names = invalid_names | {
             event.record.name
             for event in events
             if isinstance(event, ServerUpdated)
         }
+        evacuated = invalid_names | {
+            event.failure_domain
+            for event in events
+            if isinstance(event, EvacuationChanged)
+        }
         now = self.clock()
         updates_complete = updates_complete and (since, generation) == (
             view.revision,
@@ -205,6 +216,8 @@
         )
         applied = view.apply_events(events, now)
         applied += view.mark_missing(names, first_revision, now)
+        ended = view.evacuations.find_ended(evacuated, first_revision)
+        applied += view.apply_events(ended, now)
         self.cursor = first_revision
         view.advance(first_revision, started_at)
         self.on_store_reached()
--- a/cowslipmill/view/tests/test_reader.py
+++ b/cowslipmill/view/tests/test_reader.py
@@ -17,6 +17,7 @@
 from cowslipmill.http1.message import Response
 from cowslipmill.platform.storeapi import PlatformStoreApi
 from cowslipmill.standin.store import StandinStore
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreUnavailable
 from cowslipmill.view.reader import MAX_PAGES
@@ -273,3 +274,105 @@
     reader = StoreReader(store.address, PlatformStoreApi('s'), view, clock)
     assert_that(await reader.read(), IsInstance(StoreUnavailable))
     assert_that(store.calls['/api/kv-range'], Equals(MAX_PAGES))
+
+
+async def test_an_evacuation_is_read_at_first_and_as_a_change(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    """It has to be in force within seconds, whoever reads the store."""
+    store.evacuate('domain-b')
+    await reader.read()
+    assert_that(reader.view.evacuations.active, Equals({'domain-b'}))
+    store.evacuate('domain-a')
+    await reader.read()
+    assert_that(available_names(reader), Equals([]))
+    store.end_evacuation('domain-a')
+    await reader.read()
+    assert_that(available_names(reader), Equals(['one', 'two']))
+
+
+async def test_a_full_read_that_lacks_the_key_ends_the_evacuation(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    """The removal may be in a part of the history that is gone."""
+    store.evacuate('domain-a')
+    await reader.read()
+    store.end_evacuation('domain-a')
+    store.put('servers/three', make_entry())
+    store.compact()
+    result = await reader.read()
+    assert isinstance(result, ReadResult)
+    assert_that(available_names(reader), Equals(['one', 'three', 'two']))
+    ended = EvacuationChanged('domain-a', store.revision, False)
+    assert_that(ended in result.applied, Equals(True))
+
+
+async def test_a_full_read_ends_no_evacuation_that_is_newer(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    """Another host has told of it while the pages were read."""
+    await reader.read()
+    newer = EvacuationChanged('domain-a', store.revision + 5, True)
+    reader.view.apply_events([newer], 0.0)
+    store.put('servers/three', make_entry())
+    store.compact()
+    await reader.read()
+    assert_that(reader.view.evacuations.active, Equals({'domain-a'}))
+
+
+@pytest.mark.parametrize('in_copy', [True, False])
+async def test_a_store_that_comes_back_says_what_is_evacuated(
+    reader: StoreReader, store: StandinStore, in_copy: bool
+) -> None:
+    """Whatever held before the copy; numbers of revisions are lower."""
+    if in_copy:
+        store.evacuate('domain-a')
+    copy = store.copy()
+    for _ in range(5):
+        store.put('servers/one', make_entry())
+    if in_copy:
+        store.end_evacuation('domain-a')
+    else:
+        store.evacuate('domain-a')
+    await reader.read()
+    assert_that(bool(reader.view.evacuations.active), Equals(not in_copy))
+    store.restore(copy)
+    await reader.read()
+    assert_that(bool(reader.view.evacuations.active), Equals(in_copy))
+
+
+async def test_an_outage_of_the_store_keeps_an_evacuation(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    """The last state that was read stays in force."""
+    store.evacuate('domain-a')
+    await reader.read()
+    store.busy = True
+    await reader.read()
+    assert_that(available_names(reader), Equals([]))
+
+
+@pytest.mark.parametrize('compacted', [True, False])
+async def test_evacuations_are_read_after_updates_of_an_older_build(
+    reader: StoreReader, store: StandinStore, compacted: bool
+) -> None:
+    """Its updates carry the view past the key and don't tell of it."""
+    await reader.read()
+    store.evacuate('domain-a')
+    if compacted:
+        store.compact()
+    revision = store.put('servers/three', make_entry())
+    reader.view.advance(revision, 0.0, evacuations_until=0)
+    await reader.read()
+    assert_that(reader.view.evacuations.active, Equals({'domain-a'}))
+    assert_that(reader.view.complete_revision, Equals(revision))
+
+
+async def test_evacuations_are_read_after_a_snapshot_of_an_older_build(
+    reader: StoreReader, store: StandinStore
+) -> None:
+    """A host that starts would never know of one that has begun before."""
+    store.evacuate('domain-a')
+    reader.view.advance(store.revision, 0.0, evacuations_until=0)
+    await reader.read()
+    assert_that(reader.view.evacuations.active, Equals({'domain-a'}))
--- a/cowslipmill/view/view.py
+++ b/cowslipmill/view/view.py
@@ -19,7 +19,9 @@
 from cowslipmill.view.change import diff_configurations
 from cowslipmill.view.configuration import Configuration
 from cowslipmill.view.configuration import Service
+from cowslipmill.view.evacuations import Evacuations
 from cowslipmill.view.events import ConfigurationUpdated
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import ServerRemoved
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreEvent
@@ -58,6 +60,10 @@
         removed: Names of removed servers with the revisions of the removals.
         departed: Names and starts, in Unix milliseconds, of servers that had
             said that they leave and are gone.
+        evacuations: The newest change of each failure domain's evacuation,
+            whatever part of the view the other host lacks.
+        evacuations_until: Store revision up to which the sender knows all
+            evacuations; 0 from a host of an older build.
     """
 
     revision: int
@@ -66,6 +72,8 @@
     servers: tuple[tuple[ServerRecord, int], ...]
     removed: tuple[tuple[Name, int], ...]
     departed: tuple[tuple[Name, int], ...] = ()
+    evacuations: tuple[EvacuationChanged, ...] = ()
+    evacuations_until: int = 0
 
 
 class View:
@@ -92,6 +100,7 @@
             an older version.
         gap_until: Revision up to which some changes were received without all
             of those before.
+        evacuations: The failure domains that are evacuated.
     """
 
     def __init__(self, *, leaving_s: float = DEFAULT_LEAVING_S) -> None:
@@ -109,6 +118,7 @@
         self.generation = 0
         self.gap_until = 0
         self.packed: PackedConfiguration | None = None
+        self.evacuations = Evacuations()
 
     @property
     def usable(self) -> bool:
@@ -270,6 +280,11 @@
         known.missing_since = now
         return True
 
+    @apply_event.register
+    def apply_evacuation(self, event: EvacuationChanged, now: float) -> bool:
+        """Applies the begin or the end of an evacuation if it is newer."""
+        return self.evacuations.apply(event)
+
     def record_departure(self, name: str, started_ms: int) -> None:
         """Keeps the start of a server that has left as it had said.
 
@@ -316,16 +331,40 @@
         ]
         return self.apply_events(missing, now)
 
-    def advance(self, revision: int, synced_at: float) -> None:
+    def advance(
+        self,
+        revision: int,
+        synced_at: float,
+        *,
+        evacuations_until: int | None = None,
+    ) -> None:
         """Advances the view's revision and time of synchronisation.
 
         Args:
             revision: Store revision up to which all changes were applied.
             synced_at: Monotonic seconds as of which that was the store's
                 revision.
+            evacuations_until: Store revision up to which all evacuations are
+                known; None for `revision`.
         """
         self.revision = max(self.revision, revision)
         self.synced_at = max(self.synced_at, synced_at)
+        until = revision if evacuations_until is None else evacuations_until
+        behind = until < revision
+        self.evacuations.advance(until, float('-inf') if behind else synced_at)
+
+    @property
+    def complete_at(self) -> float:
+        """Monotonic seconds as of which all of the view was the store's.
+
+        Unlike `synced_at`, updates without the evacuations don't count.
+        """
+        return min(self.synced_at, self.evacuations.synced_at)
+
+    @property
+    def complete_revision(self) -> int:
+        """Store revision up to which all changes and evacuations are known."""
+        return min(self.revision, self.evacuations.known_until)
 
     @property
     def version(self) -> int:
@@ -385,6 +424,8 @@
                 if revision > since
             ),
             departed=tuple(self.departed.items()),
+            evacuations=tuple(self.evacuations.changes.values()),
+            evacuations_until=self.evacuations.known_until,
         )
 
     def packed_configuration(self) -> PackedConfiguration | None:
@@ -469,14 +510,27 @@
             events += self.events_of_packed(snapshot.configuration)
         events += [ServerUpdated(*entry) for entry in snapshot.servers]
         events += [ServerRemoved(*entry) for entry in snapshot.removed]
+        events += self.evacuations.events_of_list(
+            snapshot.evacuations, snapshot.evacuations_until
+        )
         applied = self.apply_events(events, now)
-        self.advance(snapshot.revision, now - snapshot.age_s)
+        self.advance(
+            snapshot.revision,
+            now - snapshot.age_s,
+            evacuations_until=snapshot.evacuations_until,
+        )
         return applied
 
     def available_servers(self, service: str) -> list[KnownServer]:
-        """Returns the servers of a service that accept new requests."""
+        """Returns the servers of a service that accept new requests.
+
+        Those of evacuated failure domains are left out.
+        """
+        evacuated = self.evacuations.active
         return [
             known
             for known in self.servers.values()
-            if known.record.service == service and not known.record.leaving
+            if known.record.service == service
+            and not known.record.leaving
+            and known.record.failure_domain not in evacuated
         ]
