Send nothing new to servers of evacuated failure domains

Cause: coordinators, path checks, crash checks and relays went on using the servers of a failure domain that the operator takes out of use. Change: leases are requested in another domain, or refused with no server if evacuations leave none. Coordinators of the domain refuse their queue, and the hosts that have the requests ask elsewhere; for hosts that don't know of the evacuation the coordinator asks elsewhere itself. A lease that was granted before ends as UNUSED, checked right before the send, also by relaying hosts, and its request counts as not sent. Slots in use stay known until the evacuation ends. Health requests aren't sent there.

--- a/cowslipmill/forwarding/attempts.py
+++ b/cowslipmill/forwarding/attempts.py
@@ -103,6 +103,16 @@
             else NextStep.GIVE_UP
         )
 
+    def after_evacuation(self, server: str) -> NextStep:
+        """Returns the next step after a server's domain was evacuated.
+
+        Nothing was sent and the server has not failed, so that it doesn't
+        count as tried. It is excluded for the case that the coordinator
+        doesn't know of the evacuation yet.
+        """
+        self.excluded.append(server)
+        return NextStep.RETRY
+
     def after_response(
         self, response_class: ResponseClass, response: Response
     ) -> NextStep:
--- a/cowslipmill/forwarding/directsender.py
+++ b/cowslipmill/forwarding/directsender.py
@@ -134,8 +134,11 @@
         """Returns the server of a grant if it still accepts requests.
 
         Returns:
-            None if the server is gone, is leaving or has restarted since.
+            None if the server is gone, is leaving or has restarted since, or
+            if its failure domain is evacuated.
         """
+        if self.is_evacuated(grant):
+            return None
         known = self.view.servers.get(grant.server)
         if known is None or known.record.leaving:
             return None
@@ -143,6 +146,14 @@
             return None
         return known.record
 
+    def is_evacuated(self, grant: Grant) -> bool:
+        """Returns whether the failure domain of a grant's server is."""
+        known = self.view.servers.get(grant.server)
+        domain = grant.failure_domain
+        if known is not None:
+            domain = known.record.failure_domain
+        return self.view.evacuations.is_active(domain)
+
     def is_paused(self, server: ServerRecord) -> bool:
         """Returns whether a server wants nothing from this host now."""
         return self.pauses.is_paused(server, self.clock())
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -460,6 +460,8 @@
         has executed it: an error of status 500 or higher may come instead.
         """
         if isinstance(result, NotSent):
+            if result.evacuated:
+                return context.attempts.after_evacuation(result.server)
             return context.attempts.after_unreachable(result.server)
         if isinstance(result, Lost):
             if self.crash_tracker.hold_s(context.fingerprints) > 0.0:
--- a/cowslipmill/forwarding/sender.py
+++ b/cowslipmill/forwarding/sender.py
@@ -17,6 +17,7 @@
 from cowslipmill.http1.serverconnection import ConnectFailed
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.leasing.leasemanager import LeaseManager
+from cowslipmill.leasing.leaserequest import EVACUATED
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseResult
 from cowslipmill.relays.relayclient import RelayClient
@@ -85,8 +86,9 @@
         try:
             server = self.direct.find_server(grant)
             if server is None:
-                lease_result = LeaseResult.UNREACHABLE
-                return NotSent(grant.server, 'the server has left')
+                unavailable = self.explain_no_server(grant)
+                lease_result = lease_result_of(unavailable, grant)
+                return unavailable
             attempt = Attempt(context, grant, server)
             result = await self.send_to_server(attempt)
             lease_result = lease_result_of(result, grant)
@@ -105,6 +107,12 @@
                 duration_s = self.clock() - attempt.sent_at
             self.release(context, grant, lease_result, duration_s)
 
+    def explain_no_server(self, grant: Grant) -> NotSent:
+        """Returns why nothing is sent to the server of a grant any more."""
+        if self.direct.is_evacuated(grant):
+            return NotSent(grant.server, EVACUATED, evacuated=True)
+        return NotSent(grant.server, 'the server has left', confirmed=True)
+
     def release(
         self,
         context: RequestContext,
@@ -163,9 +171,13 @@
             relayed = await self.relay(attempt)
             if not isinstance(relayed, NotSent) or paths.isolated:
                 return relayed
+            if relayed.evacuated:
+                return relayed
         try:
             connection = await self.direct.connect(server)
         except ConnectFailed:
+            if self.direct.is_evacuated(attempt.grant):
+                return self.explain_no_server(attempt.grant)
             return relayed or await self.relay(attempt)
         return await self.exchange(attempt, connection)
 
@@ -176,7 +188,7 @@
         server = attempt.server
         if self.direct.find_server(attempt.grant) is None:
             connection.close()
-            return NotSent(server.name, 'the server has left', confirmed=True)
+            return self.explain_no_server(attempt.grant)
         if self.direct.is_paused(server):
             connection.close()
             return NotSent(server.name, 'the server pauses', paused=True)
@@ -209,7 +221,7 @@
     server at a coordinator on another host.
     """
     if isinstance(result, NotSent):
-        if result.paused:
+        if result.paused or result.evacuated:
             return LeaseResult.UNUSED
         if result.confirmed or not grant.coordinator[0]:
             return LeaseResult.UNREACHABLE
--- a/cowslipmill/forwarding/sendresult.py
+++ b/cowslipmill/forwarding/sendresult.py
@@ -17,12 +17,14 @@
         confirmed: Whether this shows that the server is down, and not only
             that this host has no path to it.
         paused: Whether the server wants nothing from this host for a time.
+        evacuated: Whether its failure domain is evacuated.
     """
 
     server: str
     reason: str
     confirmed: bool = False
     paused: bool = False
+    evacuated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowslipmill/host/host.py
+++ b/cowslipmill/host/host.py
@@ -27,6 +27,7 @@
 from cowslipmill.host.callergate import CallerGate
 from cowslipmill.host.callergate import max_caller_connections
 from cowslipmill.host.callergate import set_backlog
+from cowslipmill.host.evacuationlog import log_evacuation
 from cowslipmill.host.requestlog import RequestLog
 from cowslipmill.host.requestlog import to_milliseconds
 from cowslipmill.host.settings import Address
@@ -52,6 +53,7 @@
 from cowslipmill.runtime.program import ListenError
 from cowslipmill.view.configuration import Configuration
 from cowslipmill.view.events import ConfigurationUpdated
+from cowslipmill.view.events import EvacuationChanged
 from cowslipmill.view.events import ServerRemoved
 from cowslipmill.view.events import ServerUpdated
 from cowslipmill.view.events import StoreEvent
@@ -241,6 +243,7 @@
                 self.member_list,
                 self.rpc,
                 self.lease_manager.rate_limits,
+                direct_sender.is_evacuated,
                 clock,
                 random,
                 self.memory.servers,
@@ -506,6 +509,8 @@
                 )
                 if record.leaving:
                     self.pool.close_idle(record.address)
+            elif isinstance(event, EvacuationChanged):
+                self.apply_evacuation(event, source)
             elif isinstance(event, ServerRemoved):
                 LOG.info(
                     'server entry removed',
@@ -516,6 +521,23 @@
                     },
                 )
 
+    def apply_evacuation(self, event: EvacuationChanged, source: str) -> None:
+        """Logs an evacuation; has queued requests leave the failure domain.
+
+        Closes idle connections to its servers, which may be switched off.
+
+        Args:
+            event: The change.
+            source: Where it came from.
+        """
+        log_evacuation(event, source, len(self.view.evacuations.active))
+        if not event.active:
+            return
+        self.lease_manager.refuse_queued(event.failure_domain)
+        for known in self.view.servers.values():
+            if known.record.failure_domain == event.failure_domain:
+                self.pool.close_idle(known.record.address)
+
     def on_path_lost(self, address: Address | None) -> None:
         """Closes idle connections that may not deliver data any more.
 
--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -158,6 +158,17 @@
                 waiting = len(self.scheduler.queue)
                 self.deliver(Refusal(request.key, NO_PATH, 0.0, waiting))
 
+    def refuse_queue(self, reason: str) -> None:
+        """Refuses all queued requests, which may be decided on elsewhere.
+
+        Args:
+            reason: Why, as in the refusals.
+        """
+        waiting = len(self.scheduler.queue)
+        for request in list(self.scheduler.queue):
+            self.scheduler.cancel(request.key)
+            self.deliver(Refusal(request.key, reason, 0.0, waiting))
+
     async def probe_servers(self) -> None:
         """Probes servers until enough free slots at fast ones are known.
 
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -18,6 +18,7 @@
 from cowslipmill.leasing.coordinator import Coordinator
 from cowslipmill.leasing.coordinator import Reply
 from cowslipmill.leasing.leaseclient import LeaseClient
+from cowslipmill.leasing.leaserequest import EVACUATED
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import LeaseRequest
@@ -30,6 +31,7 @@
 from cowslipmill.leasing.ratelimits import MIN_LIMIT_PER_S
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.leasing.requirements import Requirements
+from cowslipmill.leasing.scheduler import NO_SERVER_RETRY_AFTER_S
 from cowslipmill.leasing.scheduler import SlotScheduler
 from cowslipmill.leasing.serverpauses import ServerPauses
 from cowslipmill.paths.pathchecker import PathChecker
@@ -191,7 +193,13 @@
     def update_servers(
         self, coordinator: Coordinator, service: str, failure_domain: str
     ) -> None:
-        """Sets a coordinator's servers and health path by the view."""
+        """Sets a coordinator's servers and health path by the view.
+
+        The servers of an evacuated failure domain stay as they are, so that
+        requests in progress there count when the evacuation ends.
+        """
+        if self.view.evacuations.is_active(failure_domain):
+            return
         servers = self.view.available_servers(service)
         coordinator.scheduler.set_servers(
             (
@@ -217,11 +225,32 @@
 
         Tries the ranked coordinators of the service in its failure domain;
         this host decides itself if it is next in rank, or if those tried are
-        unreachable or reach no server.
+        unreachable or reach no server. If the domain is evacuated meanwhile,
+        the lease is requested in another one.
         """
         key: LeaseKey = (self.member_list.own.name, next(self.request_numbers))
+        evacuated: set[str] = set()
+        while True:
+            domain = self.choose_domain(requirements.service, evacuated)
+            if domain is None:
+                wait_s = NO_SERVER_RETRY_AFTER_S * self.random.uniform(1, 1.5)
+                return Refusal(key, 'no server', wait_s, 0)
+            reply = await self.acquire_in_domain(key, requirements, domain)
+            if not is_evacuated(reply):
+                return reply
+            evacuated.add(domain)
+
+    async def acquire_in_domain(
+        self, key: LeaseKey, requirements: Requirements, domain: str
+    ) -> Grant | Refusal:
+        """Acquires a lease in one failure domain, which may be queued.
+
+        Args:
+            key: Key of the lease.
+            requirements: What the request requires of a server.
+            domain: Failure domain whose servers are wanted.
+        """
         service = requirements.service
-        domain = self.choose_domain(service)
         unreachable = 0
         for member in self.ranked_coordinators(service, domain):
             if member.name == self.member_list.own.name:
@@ -304,16 +333,32 @@
         self.checker.request_check(self.random.choice(records))
         return False
 
-    def choose_domain(self, service: str) -> str:
+    def choose_domain(
+        self, service: str, evacuated: Collection[str] = ()
+    ) -> str | None:
         """Returns the failure domain in which a lease is requested.
 
-        It is this host's own, unless that has no server of the service.
+        It is this host's own, unless that has no server of the service or is
+        evacuated.
+
+        Args:
+            service: The service.
+            evacuated: Failure domains that are evacuated by the word of a
+                coordinator, which may know it first.
+
+        Returns:
+            The failure domain; None if evacuations leave none.
         """
-        for entry in self.view.available_servers(service):
-            if entry.record.failure_domain == self.domain:
-                return self.domain
-        other_domains = self.other_domains(service)
-        return other_domains[0] if other_domains else self.domain
+        if self.domain not in evacuated:
+            for entry in self.view.available_servers(service):
+                if entry.record.failure_domain == self.domain:
+                    return self.domain
+        for domain in self.other_domains(service):
+            if domain not in evacuated:
+                return domain
+        return (
+            None if evacuated or self.view.evacuations.active else self.domain
+        )
 
     async def acquire_locally(
         self,
@@ -331,7 +376,13 @@
             failure_domain: Failure domain whose servers are wanted.
             may_move: Whether to refuse with `NO_PATH` if this host reaches
                 none of them.
+
+        Returns:
+            The decision; a refusal with `EVACUATED` if the failure domain is
+            evacuated, or is before there is a decision.
         """
+        if self.view.evacuations.is_active(failure_domain):
+            return Refusal(key, EVACUATED, 0.0, 0)
         request = LeaseRequest(
             key, requirements, self.clock(), may_move=may_move
         )
@@ -542,9 +593,48 @@
             return Refusal(message.key, NO_PATH, 0.0, 0)
         if self.coordinator_of(service, failure_domain) is None:
             return Refusal(message.key, NO_PATH, 0.0, 0)
-        return await self.acquire_locally(
+        reply = await self.acquire_locally(
             message.key, requirements, message.failure_domain, may_move=True
         )
+        if is_evacuated(reply) and requirements.max_duration_s is None:
+            grant = await self.acquire_elsewhere(message.key, requirements)
+            return grant or reply
+        return reply
+
+    async def acquire_elsewhere(
+        self, key: LeaseKey, requirements: Requirements
+    ) -> Grant | None:
+        """Requests a lease outside an evacuated domain for another host.
+
+        That host may be of an older build, which would refuse the request.
+
+        Returns:
+            The first grant; None if no server is free at once.
+        """
+        remaining_s = requirements.deadline_at - self.clock()
+        at_once = requirements.with_max_duration(remaining_s)
+        evacuations = self.view.evacuations
+        for domain in (self.domain, *self.other_domains(at_once.service)):
+            if evacuations.is_active(domain):
+                continue
+            reply = await self.acquire_from_domain(key, at_once, domain)
+            if isinstance(reply, Grant):
+                # The other host returns a lease to the coordinator named, also
+                # if it has cancelled its request meanwhile.
+                if reply.coordinator[0]:
+                    return reply
+                own = self.member_list.own.address
+                return replace(reply, coordinator=own)
+        return None
+
+    def refuse_queued(self, failure_domain: str) -> None:
+        """Refuses what is queued for an evacuated failure domain.
+
+        The hosts that have the requests get other leases for them.
+        """
+        for (_, domain), coordinator in self.coordinators.items():
+            if domain == failure_domain:
+                coordinator.refuse_queue(EVACUATED)
 
     async def on_cancel_lease(self, message: CancelLease, sender: str) -> None:
         """Cancels a queued request, or releases the lease that it got."""
@@ -576,3 +666,8 @@
         )
         if coordinator is not None:
             coordinator.record_result(message, sender)
+
+
+def is_evacuated(reply: Reply) -> bool:
+    """Returns whether a coordinator refused since its domain is evacuated."""
+    return isinstance(reply, Refusal) and reply.reason == EVACUATED
--- a/cowslipmill/leasing/leaserequest.py
+++ b/cowslipmill/leasing/leaserequest.py
@@ -14,6 +14,9 @@
 # Reason of a refusal by a coordinator that reaches none of its servers;
 # another host may.
 NO_PATH = 'no path to servers'
+# Reason for which nothing is granted at, or sent to, the servers of a failure
+# domain; those of others may be used.
+EVACUATED = 'failure domain evacuated'
 
 
 class LeaseResult(IntEnum):
--- a/cowslipmill/paths/pathchecker.py
+++ b/cowslipmill/paths/pathchecker.py
@@ -77,7 +77,12 @@
         self.checks: set[Task[None]] = set()
 
     def request_check(self, server: ServerRecord) -> None:
-        """Starts a check of the path to a server, unless it is too early."""
+        """Starts a check of the path to a server, unless it is too early.
+
+        Nothing is sent to servers of evacuated failure domains.
+        """
+        if self.view.evacuations.is_active(server.failure_domain):
+            return
         now = self.clock()
         if self.pauses.is_paused(server, now):
             return
@@ -96,6 +101,9 @@
             known.record
             for known in self.view.servers.values()
             if known.record.address not in self.paths.unreached
+            and not self.view.evacuations.is_active(
+                known.record.failure_domain
+            )
         ]
         count = min(len(others), ISOLATION_FAILURES - 1)
         for server in self.random.sample(others, count):
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -14,6 +14,8 @@
 from cowslipmill.forwarding.sendresult import NotSent
 from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Response
+from cowslipmill.leasing.leaserequest import EVACUATED
+from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.ratelimits import RateLimits
 from cowslipmill.memory.budget import Holding
@@ -60,6 +62,8 @@
         member_list: The hosts known.
         rpc: Calls between hosts.
         rate_limits: Learns what other hosts know of servers' rate limits.
+        is_evacuated: Returns whether the failure domain of a lease's server
+            is evacuated.
         random: Spreads the requests over the hosts.
         memory: The budget that responses count against.
         refused_until: Until when hosts that refused aren't asked, in
@@ -71,6 +75,7 @@
         member_list: MemberList,
         rpc: Rpc,
         rate_limits: RateLimits,
+        is_evacuated: Callable[[Grant], bool],
         clock: Callable[[], float],
         random: Random,
         memory: MemoryBudget,
@@ -80,6 +85,7 @@
         self.member_list = member_list
         self.rpc = rpc
         self.rate_limits = rate_limits
+        self.is_evacuated = is_evacuated
         self.clock = clock
         self.random = random
         self.refused_until: dict[str, float] = BoundedDict()
@@ -87,7 +93,8 @@
     async def send(self, attempt: Attempt) -> Response | Lost | NotSent:
         """Sends a request by way of the first host that offers it.
 
-        Records in the attempt whether the request was sent.
+        Records in the attempt whether the request was sent. It isn't once this
+        host or the other one knows that the server's domain is evacuated.
         """
         server = attempt.server.name
         if len(attempt.context.request.body) > MAX_BODY_BYTES:
@@ -95,13 +102,20 @@
         reason = 'no host to relay'
         confirmed = False
         for member in self.candidates(attempt)[:MAX_HOSTS_ASKED]:
+            if self.is_evacuated(attempt.grant):
+                return NotSent(server, EVACUATED, evacuated=True)
             reason = await self.ask_offer(attempt, member)
+            if not reason and self.is_evacuated(attempt.grant):
+                self.cancel(member, attempt.grant.key)
+                reason = EVACUATED
+            if reason == EVACUATED:
+                return NotSent(server, EVACUATED, evacuated=True)
             if reason:
                 confirmed = confirmed or reason == OUT_OF_REACH
                 continue
             result = await self.send_by(attempt, member)
             self.log(attempt, member, result)
-            if not isinstance(result, NotSent):
+            if not isinstance(result, NotSent) or result.evacuated:
                 return result
             reason = result.reason
             confirmed = confirmed or result.confirmed
@@ -210,7 +224,12 @@
             return Lost(server, reason, False, path_lost=True)
         attempt.withdraw_send()
         if isinstance(reply, RelayFailure):
-            return NotSent(server, reply.reason, reply.unreachable)
+            return NotSent(
+                server,
+                reply.reason,
+                reply.unreachable,
+                evacuated=reply.reason == EVACUATED,
+            )
         return NotSent(server, 'not relayed')
 
     def cancel(self, member: Member, key: LeaseKey) -> None:
--- a/cowslipmill/relays/relayserver.py
+++ b/cowslipmill/relays/relayserver.py
@@ -22,6 +22,7 @@
 from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.serverconnection import ConnectFailed
+from cowslipmill.leasing.leaserequest import EVACUATED
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.memory.budget import Holding
@@ -158,7 +159,7 @@
             return BUSY
         server = self.direct.find_server(grant)
         if server is None:
-            return LEFT
+            return self.explain_no_server(grant)
         if self.direct.is_paused(server):
             return PAUSED
         if self.direct.paths.is_lost(server.address):
@@ -168,6 +169,10 @@
             return LIMITED
         return ''
 
+    def explain_no_server(self, grant: Grant) -> str:
+        """Returns why nothing is sent to the server of a grant any more."""
+        return EVACUATED if self.direct.is_evacuated(grant) else LEFT
+
     async def on_relay_request(
         self, message: RelayRequest, sender: str
     ) -> RelayResponse | RelayFailure:
@@ -221,11 +226,11 @@
         """
         server = self.direct.find_server(grant)
         if server is None:
-            return RelayFailure(False, LEFT)
+            return RelayFailure(False, self.explain_no_server(grant))
         connection = await self.direct.connect(server)
         if self.direct.find_server(grant) is None:
             connection.close()
-            return RelayFailure(False, LEFT)
+            return RelayFailure(False, self.explain_no_server(grant))
         if self.direct.is_paused(server):
             connection.close()
             return RelayFailure(False, PAUSED)
--- a/cowslipmill/relays/runningchecks.py
+++ b/cowslipmill/relays/runningchecks.py
@@ -131,7 +131,7 @@
 
         Returns:
             None if this host can't tell, since it reaches no server or may
-            send nothing to this one.
+            send nothing to this one, as its domain is evacuated or it pauses.
         """
         known = self.view.servers.get(server.name)
         if known is not None and known.record.started_ms != server.started_ms:
@@ -144,6 +144,8 @@
             return RunState.RESPONDING
         if paths.isolated:
             return None
+        if self.view.evacuations.is_active(server.failure_domain):
+            return None
         if self.prober.pauses.is_paused(server, self.clock()):
             return None
         service = self.view.services.get(server.service)
