--- a/cowslipmill/fleet/tests/test_compatibility.py
+++ b/cowslipmill/fleet/tests/test_compatibility.py
@@ -5,15 +5,37 @@
 server, and comparisons without end.
 """
 
+from random import Random
+from typing import Any
+
+from msgspec import Struct
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.memberlist import MemberList
 from cowslipmill.fleet.messages import Member
+from cowslipmill.fleet.messages import MESSAGES
+from cowslipmill.fleet.messages import News
+from cowslipmill.fleet.rpc import MAX_MESSAGE_BYTES
 from cowslipmill.forwarding.fingerprints import fingerprints_of
 from cowslipmill.http1.message import Request
+from cowslipmill.peers.frame import Frame
+from cowslipmill.peers.frame import FrameKind
+from cowslipmill.peers.frame import make_frame_codec
+from cowslipmill.runtime.names import Name
 from cowslipmill.suspects.suspects import SuspectRequests
+from cowslipmill.view.change import ConfigurationChange
+from cowslipmill.view.events import EvacuationChanged
+from cowslipmill.view.events import ServerRemoved
+from cowslipmill.view.events import ServerUpdated
+from cowslipmill.view.events import StoreEvent
+from cowslipmill.view.packed import PackedConfiguration
+from cowslipmill.view.reader import ReadResult
 from cowslipmill.view.revision import make_revision
+from cowslipmill.view.server import ServerRecord
+from cowslipmill.view.tests.conftest import make_record
+from cowslipmill.view.view import View
 
 
 def make_member_list() -> MemberList:
@@ -67,3 +89,139 @@
 def test_revisions_order_alike_over_eras() -> None:
     """Else a build would take an older entry for the newer one."""
     assert_that(make_revision(1, 7), Equals(17592186044423))
+
+
+class OldNews(Struct, frozen=True, array_like=True, tag='news'):
+    """`News` as of build 44f3e38."""
+
+    since: int
+    revision: int
+    age_s: float
+    events: tuple[
+        ConfigurationChange
+        | PackedConfiguration
+        | ServerUpdated
+        | ServerRemoved,
+        ...,
+    ]
+    reader: Name
+    relay: bool
+
+
+class OldSnapshot(Struct, frozen=True, array_like=True, tag='snapshot'):
+    """`Snapshot` as of build 44f3e38."""
+
+    revision: int
+    age_s: float
+    configuration: PackedConfiguration | None
+    servers: tuple[tuple[ServerRecord, int], ...]
+    removed: tuple[tuple[Name, int], ...]
+    departed: tuple[tuple[Name, int], ...] = ()
+
+
+CODEC = make_frame_codec(MESSAGES, max_bytes=MAX_MESSAGE_BYTES)
+OLD_CODEC = make_frame_codec(
+    (OldNews, OldSnapshot), max_bytes=MAX_MESSAGE_BYTES
+)
+
+
+class StoredNews:
+    """What a host sends after a read of the store.
+
+    Attributes:
+        messages: The messages.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.messages: list[Any] = []
+
+    def register(self, message_type: type, handler: Any) -> None:
+        """Ignores a handler."""
+
+    def send_all(self, members: list[Member], message: Any) -> None:
+        """Keeps a message."""
+        self.messages.append(message)
+
+
+def make_view() -> View:
+    """Returns a view with a server and an evacuated failure domain."""
+    view = View()
+    events: list[StoreEvent] = [
+        ServerUpdated(make_record(), 2),
+        EvacuationChanged('domain-b', 3, True),
+    ]
+    view.apply_events(events, 0.0)
+    view.advance(3, 0.0)
+    return view
+
+
+def pass_through(message: Any, sent_by: Any, read_by: Any) -> Any:
+    """Returns a message as another build reads it."""
+    frame = Frame(FrameKind.NOTIFICATION, 0, message)
+    raw = sent_by.frame_codec.encode(frame)
+    decoded = read_by.frame_codec.decode(raw)
+    assert isinstance(decoded, Frame), decoded
+    return decoded.message
+
+
+async def read_and_publish() -> News:
+    """Returns the update of a host that has read of an evacuation."""
+    rpc: Any = StoredNews()
+    gossip = Gossip(
+        make_member_list(),
+        make_view(),
+        rpc,
+        (),
+        lambda events, source: None,
+        lambda name: None,
+        lambda: 0.0,
+        Random(1),
+    )
+    events: list[StoreEvent] = [
+        ServerUpdated(make_record(), 2),
+        EvacuationChanged('domain-b', 3, True),
+    ]
+    gossip.publish(ReadResult(1, 3, events, events))
+    message: News = rpc.messages[0]
+    return message
+
+
+async def test_the_previous_build_reads_updates_with_evacuations() -> None:
+    """An event that it doesn't know would have it drop the whole update."""
+    news = await read_and_publish()
+    assert_that(news.evacuations, Equals(make_view().snapshot(0).evacuations))
+    read = pass_through(news, CODEC, OLD_CODEC)
+    assert_that(read.events, Equals((ServerUpdated(make_record(), 2),)))
+    assert_that((read.since, read.revision), Equals((1, 3)))
+
+
+def test_the_previous_build_reads_snapshots_with_evacuations() -> None:
+    """A host of it that starts would get no view."""
+    read = pass_through(make_view().snapshot(0.0), CODEC, OLD_CODEC)
+    assert_that(read.servers, Equals(((make_record(), 2),)))
+    assert_that(read.revision, Equals(3))
+
+
+async def test_what_the_previous_build_passes_on_undoes_no_evacuation() -> (
+    None
+):
+    """It leaves out the field that it doesn't know."""
+    relayed = pass_through(
+        pass_through(await read_and_publish(), CODEC, OLD_CODEC),
+        OLD_CODEC,
+        CODEC,
+    )
+    snapshot = pass_through(
+        pass_through(make_view().snapshot(0.0), CODEC, OLD_CODEC),
+        OLD_CODEC,
+        CODEC,
+    )
+    for message in (relayed, snapshot):
+        assert_that(message.evacuations, Equals(()))
+        assert_that(message.evacuations_until, Equals(0))
+    view = make_view()
+    view.merge(snapshot, 0.0)
+    events = view.evacuations.events_of_list(relayed.evacuations, 0)
+    assert_that(events, Equals([]))
+    assert_that(view.evacuations.active, Equals({'domain-b'}))
