Evacuate a failure domain with every second seed of the soak

Cause: nothing showed over real processes and faults that no request starts in an evacuated domain once the allowed time has passed. Change: the soak writes and removes the key, again after the store came back from an older copy, and checks arrivals from 5 s on, unless their sender was disturbed or cut off within the 2 s before. Not beside builds in production, which know of no evacuations.

--- a/cowslipmill/soak/ledger.py
+++ b/cowslipmill/soak/ledger.py
@@ -29,6 +29,10 @@
 # A connection that its host closes on a request later than this after it was
 # sent hasn't crossed it: the host has read the request.
 CROSSING_S = 0.2
+# So long after an evacuation began, nothing is sent into the failure domain.
+EVACUATE_S = 5.0
+# Before the name of a host that is cut off from the store or other hosts.
+CONTACT_OF = 'contact of '
 # Excused while callers see late what hosts do.
 CALLERS = 'callers'
 
@@ -58,6 +62,20 @@
     cut_at: float = 0.0
 
 
+class Evacuated(Struct):
+    """Servers of a failure domain that is evacuated by the store's word.
+
+    Attributes:
+        servers: Their names.
+        began_at: Monotonic seconds.
+        ended_at: Monotonic seconds; infinity until it ends.
+    """
+
+    servers: list[str]
+    began_at: float
+    ended_at: float = inf
+
+
 class Ledger:
     """Every attempt, and every run of every server.
 
@@ -65,6 +83,7 @@
         asks: Attempts by id.
         limits: Servers that limit their rate: requests a second and since
             when, in monotonic seconds.
+        evacuated: Evacuations, in their order.
         excuses: Times at which a host's process or the link to a server is
             disturbed: the host's IP address or the server's name, from and
             until, in monotonic seconds. What excuses that a host cuts off
@@ -76,6 +95,7 @@
         """Starts empty."""
         self.asks: dict[str, Ask] = {}
         self.limits: dict[str, tuple[float, float]] = {}
+        self.evacuated: list[Evacuated] = []
         self.excuses: list[tuple[str, float, float]] = []
         self.broken: list[str] = []
 
@@ -115,6 +135,7 @@
                 self.check_limit(backend)
             self.check_pauses(backend)
             self.check_leaving(backend)
+            self.check_evacuated(backend)
         return self.broken
 
     def check_lost(self, backends: list[StandinBackend]) -> None:
@@ -202,6 +223,23 @@
                 )
                 return
 
+    def check_evacuated(self, backend: StandinBackend) -> None:
+        """Checks what came while the server's failure domain was evacuated."""
+        spans = [s for s in self.evacuated if backend.name in s.servers]
+        for arrival in backend.arrivals:
+            names = {arrival.sender_ip, CONTACT_OF + arrival.sender_ip}
+            late = any(
+                span.began_at + EVACUATE_S < arrival.at < span.ended_at
+                for span in spans
+            )
+            since = arrival.at - LEAVING_BOUND_S
+            if late and not self.is_excused(names, since, arrival.at):
+                self.broken.append(
+                    f'{backend.name}: a request of {arrival.sender_ip} at '
+                    f'{arrival.at:.3f} s while evacuated'
+                )
+                return
+
     def check_answer(self, ask: Ask) -> None:
         """Checks that an answer is whole and belongs to its request."""
         if not ask.body.endswith(f' {ask.request_id}'.encode()):
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -102,6 +102,9 @@
             crasher = create_task(world.crash_servers(seed))
             if production is not None:
                 world.spawn(world.replace_builds(seconds))
+            else:
+                # The build in production doesn't know of evacuations.
+                world.spawn(world.evacuate(seed))
             await play(
                 world,
                 draw_plan(seed, seconds),
--- a/cowslipmill/soak/tests/test_ledger.py
+++ b/cowslipmill/soak/tests/test_ledger.py
@@ -8,6 +8,7 @@
 from cowslipmill.soak.ledger import Ask
 from cowslipmill.soak.ledger import CALLERS
 from cowslipmill.soak.ledger import CRASHER
+from cowslipmill.soak.ledger import Evacuated
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.ledger import process_of
 from cowslipmill.soak.plan import draw_plan
@@ -173,3 +174,25 @@
     assert_that(
         broken, Equals(['q1: cut off by 1.2.3.4 after 0.100 s, at one'])
     )
+
+
+@pytest.mark.parametrize(
+    ('at', 'excused', 'broken'),
+    [
+        (5.5, '10.0.0.1', 0),
+        (6.5, '', 1),
+        (6.5, '10.0.0.1', 0),
+        (6.5, '10.0.0.2', 1),
+        (9.5, '', 0),
+    ],
+)
+def test_a_request_into_an_evacuated_domain_is_told(
+    at: float, excused: str, broken: int
+) -> None:
+    """From the allowed time on until the evacuation ends."""
+    ledger = make_ledger()
+    ledger.evacuated.append(Evacuated(['one'], 1.0, 9.0))
+    ledger.excuse(excused, 5.0, 0.5)
+    backend = StandinBackend('one')
+    backend.arrivals.append(Arrival('10.0.0.1', at, False))
+    assert_that(len(ledger.check([backend])), Equals(broken))
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -32,8 +32,10 @@
 from cowslipmill.runtime.address import split_address
 from cowslipmill.soak.ledger import Ask
 from cowslipmill.soak.ledger import CALLERS
+from cowslipmill.soak.ledger import CONTACT_OF
 from cowslipmill.soak.ledger import CRASHER
 from cowslipmill.soak.ledger import CROSSING_S
+from cowslipmill.soak.ledger import Evacuated
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.ledger import process_of
 from cowslipmill.soak.plan import Fault
@@ -113,6 +115,7 @@
         links: Proxies before the servers, by server name.
         ledger: What callers saw.
         version: The last configuration published.
+        evacuated_domain: The evacuated failure domain; empty for none.
         production: Sources of the build that hosts run at first; None for
             this one.
     """
@@ -133,6 +136,7 @@
         self.ledger = Ledger()
         self.version = 0
         self.numbers = 0
+        self.evacuated_domain = ''
         self.tasks: set[Task[None]] = set()
         self.ended = False
 
@@ -276,6 +280,9 @@
         names = [name for name in self.backends if name not in self.left]
         name = names[step.target % len(names)]
         family = step.fault.value.partition('-')[2]
+        if family in ('peer', 'store'):
+            source = host.settings.server_source_ip
+            self.excuse(CONTACT_OF + source, step.for_s)
         if family == 'host':
             await self.do_to_host(step, host)
         elif family == 'peer':
@@ -434,16 +441,45 @@
                 if name not in self.left:
                     self.publish(name)
 
+    async def evacuate(self, seed: int) -> None:
+        """Evacuates a failure domain for a time, with every second seed."""
+        random = Random(f'evacuations {seed}')
+        if random.random() < 0.5:
+            return
+        await sleep(random.uniform(0.0, 1.0))
+        self.evacuated_domain = random.choice(DOMAINS)
+        self.publish_evacuation()
+        await sleep(random.uniform(6.0, 9.0))
+        self.evacuated_domain = ''
+        self.publish_evacuation()
+
+    def publish_evacuation(self) -> None:
+        """Writes or removes the keys of evacuations."""
+        now = get_running_loop().time()
+        for span in self.ledger.evacuated:
+            span.ended_at = min(span.ended_at, now)
+        for number, domain in enumerate(DOMAINS):
+            if domain != self.evacuated_domain:
+                self.store.end_evacuation(domain)
+                continue
+            self.store.evacuate(domain)
+            names = list(self.backends)[number :: len(DOMAINS)]
+            self.ledger.evacuated.append(Evacuated(names, now))
+
     async def restore_store(self, restore: Restore) -> None:
         """Has the store come back from a copy; what it lost comes again."""
         await sleep(max(0.0, restore.at_s - restore.age_s))
         copy = self.store.copy()
         await sleep(min(restore.at_s, restore.age_s))
+        for span in self.ledger.evacuated:
+            span.ended_at = min(span.ended_at, get_running_loop().time())
         self.store.restore(copy)
         await sleep(self.random.uniform(0.1, REWRITE_S))
         self.publish_configuration()
         for name in self.backends:
             self.publish(name, 'draining' if name in self.left else 'ready')
+        if self.ledger.evacuated:
+            self.publish_evacuation()
 
     async def call(self, number: int) -> None:
         """Is one caller who keeps its connection while it lasts."""
