Test checks and slots of evacuated servers more closely

Cause: with the guards of crash checks, of slots in use, of relaying hosts' reasons and of leases for unaware hosts taken out, no test failed. Change: tests of each; all of them fail with the guard taken out.

--- a/cowslipmill/host/tests/test_evacuation.py
+++ b/cowslipmill/host/tests/test_evacuation.py
@@ -26,13 +26,16 @@
 from cowslipmill.fleet.messages import AskSnapshot
 from cowslipmill.fleet.messages import BroadcastMessage
 from cowslipmill.fleet.messages import News
+from cowslipmill.fleet.rpc import Rpc
 from cowslipmill.forwarding.attempts import Attempts
 from cowslipmill.forwarding.directsender import DirectSender
+from cowslipmill.forwarding.sendresult import NotSent
 from cowslipmill.host.host import Host
 from cowslipmill.host.tests.conftest import DOMAINS
 from cowslipmill.host.tests.conftest import Fleet
 from cowslipmill.host.tests.conftest import make_test_configuration
 from cowslipmill.host.tests.partition import Partition
+from cowslipmill.host.tests.test_leases import make_context
 from cowslipmill.host.tests.test_partition import coordinator
 from cowslipmill.host.tests.test_partition import count_served
 from cowslipmill.host.tests.test_partition import partition
@@ -41,8 +44,13 @@
 from cowslipmill.host.tests.test_relays import other_than_coordinator
 from cowslipmill.http1.message import Response
 from cowslipmill.leasing.leasemanager import LeaseManager
+from cowslipmill.leasing.leaserequest import EVACUATED as EVACUATED_REASON
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseResult
+from cowslipmill.leasing.leaserequest import Refusal
+from cowslipmill.leasing.requirements import Requirements
+from cowslipmill.relays.messages import AskRelay
+from cowslipmill.standin.backend import Fault
 from cowslipmill.standin.backend import StandinBackend
 from cowslipmill.view.evacuations import Evacuations
 from cowslipmill.view.events import EvacuationChanged
@@ -156,22 +164,25 @@
     domains: Fleet,
 ) -> None:
     """Else a server would get more requests than it has slots."""
-    leader = coordinator(domains)
-    for backend in domains.backends.values():
-        backend.work_s = 0.8
-    requests = send_later(domains, 4)
-    await sleep(0.2)
+    manager = coordinator(domains).lease_manager
+    short, long = evacuated_servers(domains)
+    short.work_s, long.work_s = 0.2, 0.65
+    # They have two slots each, and the first two hosts use them.
+    requests = [
+        create_task(domains.send_request(f'/book/{n}', host=n % 2))
+        for n in range(4)
+    ]
+    await sleep(0.1)
     await evacuate(domains, EVACUATED)
+    await domains.wait_until(lambda: all(run.whole for run in short.runs))
+    await sleep(0.05)
     domains.store.end_evacuation(EVACUATED)
     await domains.wait_until(lambda: know(domains.hosts))
-    scheduler = leader.lease_manager.local_coordinator(
-        'registry', EVACUATED
-    ).scheduler
-    leases = sum(len(server.leases) for server in scheduler.servers.values())
-    running = sum(b.running for b in evacuated_servers(domains))
-    assert_that(running, GreaterThan(0))
-    assert_that(leases, Equals(running))
-    await gather(*requests)
+    scheduler = manager.local_coordinator('registry', EVACUATED).scheduler
+    leases = {n: len(s.leases) for n, s in scheduler.servers.items()}
+    assert_that(leases, Equals({'one': 0, 'two': 2}))
+    assert_that(long.running, Equals(2))
+    assert_that(count_served(await gather(*requests)), Equals(4))
 
 
 async def test_queued_requests_leave_an_evacuated_domain_at_once(
@@ -203,6 +214,26 @@
     assert_that(count_served(await gather(*blocking)), Equals(4))
 
 
+async def test_a_lost_request_causes_no_check_in_an_evacuated_domain(
+    domains: Fleet,
+) -> None:
+    """Its servers may be switched off, which is no crash."""
+    for backend in evacuated_servers(domains):
+        backend.work_s = 0.5
+        backend.fault = Fault.RESET
+    requests = [
+        create_task(domains.send_request(f'/book/{n}', host=n % 2))
+        for n in range(4)
+    ]
+    await sleep(0.1)
+    await evacuate(domains, EVACUATED)
+    arrived = count_arrivals(domains)
+    responses = await gather(*requests)
+    assert_that({response.status for response in responses}, Equals({502}))
+    await sleep(1.0)
+    assert_that(count_arrivals(domains), Equals(arrived))
+
+
 @pytest.mark.parametrize('kind', ['read', 'book'])
 async def test_requests_are_refused_at_once_if_all_domains_are_evacuated(
     domains: Fleet, kind: str, caplog: pytest.LogCaptureFixture
@@ -383,6 +414,42 @@
     assert_that(after, Equals(runs))
 
 
+async def test_a_relaying_host_says_that_the_domain_is_evacuated(
+    large_fleet: Fleet,
+    partition: Partition,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Other hosts are not asked then, and the lease is not used."""
+    cut = other_than_coordinator(large_fleet)
+    await isolate(large_fleet, partition, [cut])
+    manager = cut.lease_manager
+    context = make_context(cut, '/book/1')
+    requirements = cut.forwarder.requirements(context, None)
+    grant = await manager.acquire(requirements)
+    assert isinstance(grant, Grant)
+    become_older_build(cut)
+    large_fleet.store.evacuate(EVACUATED)
+    others = [host for host in large_fleet.hosts if host is not cut]
+    await large_fleet.wait_until(lambda: know(others, EVACUATED))
+    asked: list[object] = []
+    call = Rpc.call
+
+    async def call_and_count(rpc: Rpc, *arguments: Any) -> Any:
+        """Counts what the host asks of others."""
+        if rpc is cut.rpc and isinstance(arguments[1], AskRelay):
+            asked.append(arguments[0])
+        return await call(rpc, *arguments)
+
+    monkeypatch.setattr(Rpc, 'call', call_and_count)
+    results = record_releases(monkeypatch)
+    result = await cut.sender.send(context, grant)
+    expected = NotSent(grant.server, EVACUATED_REASON, evacuated=True)
+    assert_that(result, Equals(expected))
+    assert_that(results, Equals([(grant.server, LeaseResult.UNUSED)]))
+    assert_that(len(asked), Equals(1))
+    assert_that(context.attempts.sends, Equals(0))
+
+
 class NoEvacuations(Evacuations):
     """The evacuations of a host that ignores them."""
 
@@ -399,8 +466,12 @@
 
 
 def become_older_build(host: Host) -> None:
-    """Has a host ignore evacuations and leave them out of its messages."""
+    """Has a host ignore evacuations and leave them out of its messages.
+
+    It gives up on a refusal that it doesn't know.
+    """
     gossip: Any = host.gossip
+    manager: Any = host.lease_manager
     broadcast = gossip.broadcast
     broadcast_in_domain = gossip.broadcast_in_domain
 
@@ -410,6 +481,14 @@
         stripped: Snapshot = without_evacuations(reply)
         return stripped
 
+    async def acquire(requirements: Requirements) -> Grant | Refusal:
+        """Requests a lease, once, in the first failure domain."""
+        key = (host.settings.name, next(manager.request_numbers))
+        domain = manager.choose_domain(requirements.service)
+        reply: Grant | Refusal
+        reply = await manager.acquire_in_domain(key, requirements, domain)
+        return reply
+
     def send(message: BroadcastMessage) -> None:
         """Broadcasts a message without evacuations."""
         broadcast(without_evacuations(message))
@@ -420,6 +499,7 @@
 
     host.view.evacuations = NoEvacuations()
     host.view.evacuations.known_until = host.view.revision
+    manager.acquire = acquire
     gossip.broadcast = send
     gossip.broadcast_in_domain = send_in_domain
     host.rpc.register(AskSnapshot, on_ask_snapshot)
