Leave coordinators that don't know of an evacuation

Cause: a request queued at a coordinator of an older build, or one that is cut off, waited for a server that its host doesn't use any more.

--- a/cowslipmill/host/tests/test_evacuation.py
+++ b/cowslipmill/host/tests/test_evacuation.py
@@ -109,6 +109,13 @@
     await fleet.wait_until(lambda: know(fleet.hosts, *domains))
 
 
+def tell(hosts: Iterable[Host], change: EvacuationChanged) -> None:
+    """Tells hosts of a change at once."""
+    for host in hosts:
+        applied = host.view.apply_events([change], host.clock())
+        host.on_view_events(applied, 'test')
+
+
 def send_later(
     fleet: Fleet, count: int, *, kind: str = 'book'
 ) -> 'list[Task[Response]]':
@@ -368,9 +375,7 @@
         connection = await connect(sender, server)
         if server.failure_domain == EVACUATED:
             change = EvacuationChanged(EVACUATED, domains.store.revision, True)
-            for other in domains.hosts:
-                applied = other.view.apply_events([change], other.clock())
-                other.on_view_events(applied, 'test')
+            tell(domains.hosts, change)
         return connection
 
     def record_attempt(state: Attempts, server: str) -> None:
@@ -543,6 +548,40 @@
     assert_that(count_arrivals(domains), Equals(arrived))
 
 
+async def test_a_request_leaves_a_coordinator_that_does_not_know(
+    domains: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It would wait there for a server that its host doesn't use."""
+    leader = coordinator(domains)
+    host = other_than_coordinator(domains)
+    index = domains.hosts.index(host)
+    become_older_build(leader)
+
+    async def acquire_none(request: Any, max_duration_s: float) -> None:
+        """Finds no server in other domains."""
+
+    monkeypatch.setattr(
+        leader.lease_manager, 'acquire_from_others', acquire_none
+    )
+    for backend in evacuated_servers(domains):
+        backend.work_s = 0.6
+    blocking = [
+        create_task(domains.send_request(f'/book/{n}', host=index))
+        for n in range(4)
+    ]
+    await sleep(0.1)
+    queued = create_task(domains.send_request('/read/1', host=index))
+    await sleep(0.05)
+    assert_that(queued.done(), Equals(False))
+    known_at = get_running_loop().time()
+    tell([host], EvacuationChanged(EVACUATED, domains.store.revision, True))
+    response = await queued
+    took_s = get_running_loop().time() - known_at
+    assert_that(response.status, Equals(200))
+    assert_that(took_s, LessThan(0.2))
+    assert_that(count_served(await gather(*blocking)), Equals(4))
+
+
 async def test_an_evacuation_is_logged_and_counted(
     domains: Fleet, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/cowslipmill/leasing/leaseclient.py
+++ b/cowslipmill/leasing/leaseclient.py
@@ -16,6 +16,7 @@
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.messages import Ping
 from cowslipmill.fleet.rpc import Rpc
+from cowslipmill.leasing.leaserequest import EVACUATED
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import Refusal
@@ -48,9 +49,16 @@
         rpc: Calls between hosts.
         release_late: Releases a lease of a service whose grant came after its
             request had ended.
+        is_evacuated: Returns whether a failure domain is evacuated.
     """
 
-    __slots__ = ('clock', 'member_list', 'release_late', 'rpc')
+    __slots__ = (
+        'clock',
+        'is_evacuated',
+        'member_list',
+        'release_late',
+        'rpc',
+    )
 
     def __init__(
         self,
@@ -58,12 +66,14 @@
         rpc: Rpc,
         clock: Callable[[], float],
         release_late: Callable[[str, Grant], None],
+        is_evacuated: Callable[[str], bool] = lambda failure_domain: False,
     ) -> None:
         """Creates a client for the hosts of a member list."""
         self.member_list = member_list
         self.rpc = rpc
         self.clock = clock
         self.release_late = release_late
+        self.is_evacuated = is_evacuated
 
     async def acquire(
         self,
@@ -77,7 +87,8 @@
         The reply comes once the coordinator has decided, so a coordinator
         that doesn't reply is pinged in the meantime. If the ping fails or the
         call times out, the request is cancelled and the coordinator avoided
-        for some time.
+        for some time. It is cancelled, too, once the domain is evacuated, for
+        the case that the coordinator doesn't know.
 
         Args:
             key: Key of the lease.
@@ -86,7 +97,8 @@
             failure_domain: Failure domain whose servers are wanted.
 
         Returns:
-            The decision; None if the coordinator is unreachable.
+            The decision, or a refusal with `EVACUATED`; None if the
+            coordinator is unreachable.
         """
         now = self.clock()
         message = self.build_message(key, requirements, failure_domain, now)
@@ -96,6 +108,11 @@
         )
         try:
             while not await self.wait_for_reply(call):
+                if self.is_evacuated(failure_domain):
+                    self.cancel(
+                        call, key, requirements, coordinator, failure_domain
+                    )
+                    return Refusal(key, EVACUATED, 0.0, 0)
                 pong = await self.rpc.call(
                     coordinator.address, Ping(), PING_TIMEOUT_S
                 )
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -92,7 +92,13 @@
         self.no_path_until: dict[tuple[str, str, str], float] = BoundedDict()
         self.rate_limits: RateLimits = prober.rate_limits
         self.pauses: ServerPauses = prober.pauses
-        self.client = LeaseClient(member_list, rpc, clock, self.release_late)
+        self.client = LeaseClient(
+            member_list,
+            rpc,
+            clock,
+            self.release_late,
+            view.evacuations.is_active,
+        )
         self.clock = clock
         self.random = random
         self.coordinators: dict[tuple[str, str], Coordinator] = {}
