--- a/cowslipmill/view/evacuations.py
+++ b/cowslipmill/view/evacuations.py
@@ -80,9 +80,6 @@
     ) -> list[EvacuationChanged]:
         """Returns the ends of evacuations that a complete list lacks.
 
-        One that began after the list's revision goes on, since its change has
-        the higher revision.
-
         Args:
             failure_domains: The failure domains in the list.
             revision: Store revision up to which the list is complete.
@@ -91,6 +88,7 @@
             EvacuationChanged(name, revision, False)
             for name in sorted(self.active)
             if name not in failure_domains
+            and self.changes[name].revision <= revision
         ]
 
     def events_of_list(
