Turn servers cold in the soak

Cause: the bound of cold servers was shown without faults of hosts, links and the store.

Change: now and then, a server or all servers of a failure domain turn cold for 0.5 to 3 s. That none gets more than its bound is a promise of the soak. In a soak of an upgrade, servers stay warm, since the build in production doesn't limit them.

--- a/cowslipmill/soak/ledger.py
+++ b/cowslipmill/soak/ledger.py
@@ -6,6 +6,7 @@
 
 from cowslipmill.standin.backend import Run
 from cowslipmill.standin.backend import StandinBackend
+from cowslipmill.standin.warmups import allowed_per_second
 
 CRASHER = b'crasher'
 SUCCESS = 200
@@ -26,6 +27,8 @@
 WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 EXTRA_REQUESTS = 5
+# Requests a second that a cold server withstands, by the configuration.
+WARM_UP_PER_S = 3.6
 # A connection that its host closes on a request later than this after it was
 # sent hasn't crossed it: the host has read the request.
 CROSSING_S = 0.2
@@ -113,6 +116,7 @@
         for backend in backends:
             if backend.name in self.limits:
                 self.check_limit(backend)
+            self.check_warm_ups(backend)
             self.check_pauses(backend)
             self.check_leaving(backend)
         return self.broken
@@ -170,6 +174,12 @@
                 )
                 return
 
+    def check_warm_ups(self, backend: StandinBackend) -> None:
+        """Checks what reached a server while it was cold."""
+        most = backend.warm_ups.most_per_second()
+        if most > allowed_per_second(WARM_UP_PER_S):
+            self.broken.append(f'{backend.name}: {most} a second while cold')
+
     def check_pauses(self, backend: StandinBackend) -> None:
         """Checks what came from hosts that the server had turned away."""
         for sender_ip, told_at, pause in backend.turned_away:
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -5,6 +5,7 @@
 from asyncio import get_running_loop
 from asyncio import run as run_loop
 from asyncio import sleep
+from asyncio import Task
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -14,6 +15,7 @@
 from cowslipmill.launch.checkout import production_commit
 from cowslipmill.launch.launcher import Launcher
 from cowslipmill.runtime.program import run_program
+from cowslipmill.soak.coldness import turn_servers_cold
 from cowslipmill.soak.plan import draw_link_cuts
 from cowslipmill.soak.plan import draw_notices
 from cowslipmill.soak.plan import draw_plan
@@ -100,7 +102,11 @@
             await sleep(WARM_UP_S)
             world.limit_server(seed)
             crasher = create_task(world.crash_servers(seed))
-            if production is not None:
+            cooler: Task[None] | None = None
+            if production is None:
+                # The build in production doesn't limit cold servers.
+                cooler = create_task(turn_servers_cold(world, seed))
+            else:
                 world.spawn(world.replace_builds(seconds))
             await play(
                 world,
@@ -110,6 +116,8 @@
                 draw_restores(seed, seconds),
             )
             crasher.cancel()
+            if cooler is not None:
+                cooler.cancel()
             await sleep(RECOVERY_S)
             calm_at = loop.time()
             await sleep(CALM_S)
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -36,6 +36,7 @@
 from cowslipmill.soak.ledger import CROSSING_S
 from cowslipmill.soak.ledger import Ledger
 from cowslipmill.soak.ledger import process_of
+from cowslipmill.soak.ledger import WARM_UP_PER_S
 from cowslipmill.soak.plan import Fault
 from cowslipmill.soak.plan import LinkCut
 from cowslipmill.soak.plan import Restore
@@ -162,9 +163,10 @@
             )
             for priority, kind in enumerate(('unsafe', 'safe'))
         ]
-        self.store.put(
-            CONFIGURATION_KEY, make_configuration(self.version, *routes)
+        configuration = make_configuration(
+            self.version, *routes, WarmupPerS=WARM_UP_PER_S
         )
+        self.store.put(CONFIGURATION_KEY, configuration)
 
     async def add_server(self) -> None:
         """Starts a server behind a proxy and publishes its entry."""
