Show that older builds read a service with a limit

Cause: hosts of the build in production pass configurations on to hosts of this one and back, and a service has a new last field.

Change: a test of both directions. A service from an older build has no limit of cold servers.

--- a/cowslipmill/view/tests/test_packed.py
+++ b/cowslipmill/view/tests/test_packed.py
@@ -5,12 +5,15 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import Struct
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 from testtools.matchers import LessThan
 
+from cowslipmill.peers.codec import Codec
 from cowslipmill.peers.codec import Malformed
+from cowslipmill.view.configuration import Service
 from cowslipmill.view.packed import pack
 from cowslipmill.view.packed import PackedConfiguration
 from cowslipmill.view.packed import unpack
@@ -49,3 +52,24 @@
         view.events_of_packed(PackedConfiguration(1, b'x')), Equals([])
     )
     assert_that(view.configuration, Equals(None))
+
+
+class OlderService(Struct, frozen=True, array_like=True):
+    """A service as builds before 2026-12-07 know it."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+def test_a_service_is_read_by_older_builds_and_of_them() -> None:
+    """A configuration would not get past hosts of the other build."""
+    codec: Codec[Service] = Codec(Service, max_bytes=1_024)
+    older_codec: Codec[OlderService] = Codec(OlderService, max_bytes=1_024)
+    limited = Service('registry', '/health', 260, 3.6)
+    older = OlderService('registry', '/health', 260)
+    assert_that(older_codec.decode(codec.encode(limited)), Equals(older))
+    assert_that(
+        codec.decode(older_codec.encode(older)),
+        Equals(Service('registry', '/health', 260, 0.0)),
+    )
