Join the soak's evacuations and cold servers

The stand-in publishes the warm-up limit of a service, so that the soak doesn't use the platform's name.

--- a/cowslipmill/host/tests/test_warmup.py
+++ b/cowslipmill/host/tests/test_warmup.py
@@ -42,7 +42,7 @@
         make_test_route('/read/', 'safe'),
         make_test_route('/book/', 'unsafe'),
     ]
-    configuration = make_configuration(2, *routes, WarmupPerS=per_s)
+    configuration = make_configuration(2, *routes, warm_up_per_s=per_s)
     fleet.store.put('op/config', configuration)
     await fleet.wait_until(
         lambda: all(h.view.version == 2 for h in fleet.hosts)
--- a/cowslipmill/soak/main.py
+++ b/cowslipmill/soak/main.py
@@ -104,13 +104,12 @@
             crasher = create_task(world.crash_servers(seed))
             cooler: Task[None] | None = None
             if production is None:
-                # The build in production doesn't limit cold servers.
+                # The build in production neither limits cold servers nor
+                # knows of evacuations.
                 cooler = create_task(turn_servers_cold(world, seed))
+                world.spawn(world.evacuate(seed))
             else:
                 world.spawn(world.replace_builds(seconds))
-            else:
-                # The build in production doesn't know of evacuations.
-                world.spawn(world.evacuate(seed))
             await play(
                 world,
                 draw_plan(seed, seconds),
--- a/cowslipmill/soak/world.py
+++ b/cowslipmill/soak/world.py
@@ -168,7 +168,7 @@
             for priority, kind in enumerate(('unsafe', 'safe'))
         ]
         configuration = make_configuration(
-            self.version, *routes, WarmupPerS=WARM_UP_PER_S
+            self.version, *routes, warm_up_per_s=WARM_UP_PER_S
         )
         self.store.put(CONFIGURATION_KEY, configuration)
 
--- a/cowslipmill/standin/published.py
+++ b/cowslipmill/standin/published.py
@@ -36,17 +36,23 @@
 
 
 def make_configuration(
-    version: int, *routes: Published, **service_fields: Any
+    version: int, *routes: Published, warm_up_per_s: float | None = None
 ) -> Published:
     """Returns a configuration as the operator writes it.
 
     Args:
         version: Its version.
         routes: The routes.
-        service_fields: Further fields of the service.
+        warm_up_per_s: Requests a second that a cold server withstands; None
+            if the service doesn't say.
     """
-    service = {'Name': SERVICE, 'HealthPath': '/health', 'Tls': False}
-    service.update(service_fields)
+    service: Published = {
+        'Name': SERVICE,
+        'HealthPath': '/health',
+        'Tls': False,
+    }
+    if warm_up_per_s is not None:
+        service['WarmupPerS'] = warm_up_per_s
     return {
         'Version': f'{version:08x}',
         'Routes': list(routes),
