Ask elsewhere only where a service has servers

Cause: a lease request for a made-up service in an evacuated domain had this host begin to coordinate that service in its own domain. Change: the domains asked are those with servers in use.

--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -340,7 +340,7 @@
         return False
 
     def choose_domain(
-        self, service: str, evacuated: Collection[str] = ()
+        self, service: str, excluded: Collection[str] = ()
     ) -> str | None:
         """Returns the failure domain in which a lease is requested.
 
@@ -349,22 +349,22 @@
 
         Args:
             service: The service.
-            evacuated: Failure domains that are evacuated by the word of a
-                coordinator, which may know it first.
+            excluded: Failure domains that aren't wanted, such as those that
+                are evacuated as their coordinators already know.
 
         Returns:
-            The failure domain; None if evacuations leave none.
+            The failure domain; None if these and evacuations leave none.
         """
-        if self.domain not in evacuated:
+        if self.domain not in excluded:
             for entry in self.view.available_servers(service):
                 if entry.record.failure_domain == self.domain:
                     return self.domain
         for domain in self.other_domains(service):
-            if domain not in evacuated:
+            if domain not in excluded:
                 return domain
-        return (
-            None if evacuated or self.view.evacuations.active else self.domain
-        )
+        if excluded or self.view.evacuations.active:
+            return None
+        return self.domain
 
     async def acquire_locally(
         self,
@@ -619,10 +619,9 @@
         """
         remaining_s = requirements.deadline_at - self.clock()
         at_once = requirements.with_max_duration(remaining_s)
-        evacuations = self.view.evacuations
-        for domain in (self.domain, *self.other_domains(at_once.service)):
-            if evacuations.is_active(domain):
-                continue
+        tried: set[str] = set()
+        while domain := self.choose_domain(at_once.service, tried):
+            tried.add(domain)
             reply = await self.acquire_from_domain(key, at_once, domain)
             if isinstance(reply, Grant):
                 # The other host returns a lease to the coordinator named, also
