Split the choice of servers from the scheduler

The choice of a server and what results of leases tell of servers are modules of their own now, without a change of behaviour: the 87 tests of leasing pass as before.

--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -14,12 +14,8 @@
 from cowslipmill.leasing.admission import admit_late_to_queue
 from cowslipmill.leasing.admission import admit_to_queue
 from cowslipmill.leasing.ejection import Change
-from cowslipmill.leasing.ejection import Ejection
-from cowslipmill.leasing.ejection import Outcome
 from cowslipmill.leasing.ejection import update_limits
-from cowslipmill.leasing.estimate import estimate_duration_s
 from cowslipmill.leasing.estimate import is_temporarily_slow
-from cowslipmill.leasing.estimate import risk_penalty_s
 from cowslipmill.leasing.leaserequest import AskOtherDomains
 from cowslipmill.leasing.leaserequest import Decision
 from cowslipmill.leasing.leaserequest import Grant
@@ -27,23 +23,20 @@
 from cowslipmill.leasing.leaserequest import LeaseResult
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
+from cowslipmill.leasing.outcomes import LEASE_EXPIRY_MARGIN_S
+from cowslipmill.leasing.outcomes import record_outcome
+from cowslipmill.leasing.outcomes import tells_of_server
 from cowslipmill.leasing.overload import Overload
 from cowslipmill.leasing.processingtimes import ProcessingTimes
 from cowslipmill.leasing.sampling import count_free_fast_slots
-from cowslipmill.leasing.sampling import FRESH_REPORT_S
 from cowslipmill.leasing.sampling import select_servers_to_probe
+from cowslipmill.leasing.serverchoice import find_best_server
+from cowslipmill.leasing.serverchoice import token_wait_s
 from cowslipmill.leasing.slots import Lease
 from cowslipmill.leasing.slots import ServerSlots
 from cowslipmill.leasing.waitestimator import WaitEstimator
 from cowslipmill.view.server import ServerRecord
 
-# For a request that has waited this long, load reports up to this age are used
-# too: of servers that are too far away to respond while a decision waits for
-# probes.
-OLDER_REPORT_WAIT_S = 0.03
-OLDER_REPORT_MAX_AGE_S = 0.1
-# Time after the deadline of its request until a lease counts as lost.
-LEASE_EXPIRY_MARGIN_S = 1.0
 # Expected wait until a server with a free slot is fast again, less than the
 # mean remaining time of one slow period since any of the servers will do.
 FAST_SERVER_WAIT_S = 0.05
@@ -62,16 +55,6 @@
 # as usual still meets its objective.
 PROCESSING_MARGIN = 1.1
 MAX_QUEUED = 2_048
-# What the results of leases tell of servers. Other results tell nothing, or
-# block the server for a time of their own.
-OUTCOMES = {
-    LeaseResult.ANSWERED: Outcome.ANSWERED,
-    LeaseResult.FAILED: Outcome.ERROR,
-    LeaseResult.BROKEN: Outcome.FAILED,
-}
-# A request without a response by its deadline counts as failed if it had at
-# least this many times the median processing time.
-MIN_TIMEOUT_FACTOR = 3.0
 
 
 class SlotScheduler:
@@ -215,7 +198,9 @@
         """
         requirements = request.requirements
         processing_s = self.processing_times.typical_s(request)
-        best, duration_s = self.find_best_server(request, processing_s, now)
+        best, duration_s = find_best_server(
+            self.servers.values(), request, processing_s, self.probed_at, now
+        )
         if requirements.max_duration_s is not None:
             if best is None or duration_s > requirements.max_duration_s:
                 return self.refuse(request, 'no better server', now, random)
@@ -230,7 +215,7 @@
                 return self.grant(request, best, duration_s, now)
         mean_s = self.processing_times.mean_s(request)
         wait_s = self.wait_estimator.wait_s(mean_s, ahead)
-        wait_s = max(wait_s, self.token_wait_s(request, now))
+        wait_s = max(wait_s, token_wait_s(self.servers.values(), request, now))
         if best is not None:
             wait_s = max(FAST_SERVER_WAIT_S, wait_s)
         slack_s = self.slack_s(request, now)
@@ -253,30 +238,13 @@
             return self.refuse(request, 'overloaded', now, random)
         # Counts only the requests ahead, without this one's own wait.
         queue_wait_s = self.wait_estimator.wait_s(mean_s, ahead - 1)
-        queue_wait_s = max(queue_wait_s, self.token_wait_s(request, now))
+        queue_wait_s = max(
+            queue_wait_s, token_wait_s(self.servers.values(), request, now)
+        )
         return self.decide_late(
             request, best, duration_s, queue_wait_s, now, random
         )
 
-    def token_wait_s(self, request: LeaseRequest, now: float) -> float:
-        """Returns how long limits and pauses alone keep a request waiting.
-
-        Returns:
-            Seconds; 0 if there is a server with neither that it has not been
-            sent to, or no server at all.
-        """
-        waits_s = [
-            max(
-                server.paused_until - now,
-                0.0
-                if server.rate_bucket is None
-                else server.rate_bucket.wait_s(now),
-            )
-            for server in self.servers.values()
-            if server.name not in request.requirements.excluded
-        ]
-        return min(waits_s, default=0.0)
-
     def slack_s(self, request: LeaseRequest, now: float) -> float:
         """Returns how long a request may wait and still be in time.
 
@@ -344,50 +312,6 @@
         request.remote_attempt_pending = False
         request.next_remote_attempt_at = now + REMOTE_ATTEMPT_PAUSE_S
 
-    def find_best_server(
-        self, request: LeaseRequest, processing_s: float, now: float
-    ) -> tuple[ServerSlots | None, float]:
-        """Returns the best server with a free slot.
-
-        Returns:
-            The server and the expected duration there, in seconds; None and
-            infinity if there is no server.
-        """
-        best: ServerSlots | None = None
-        best_duration_s = float('inf')
-        best_cost_s = float('inf')
-        for server in self.servers.values():
-            if (
-                server.name in request.requirements.excluded
-                or now < server.blocked_until
-            ):
-                continue
-            if server.failed_probes or server.free_slots(now) <= 0:
-                continue
-            if not self.is_report_usable(server, request, now):
-                continue
-            duration_s = estimate_duration_s(server, processing_s, now)
-            cost_s = duration_s + risk_penalty_s(server, processing_s, now)
-            if cost_s < best_cost_s:
-                best, best_duration_s, best_cost_s = server, duration_s, cost_s
-        return best, best_duration_s
-
-    def is_report_usable(
-        self, server: ServerSlots, request: LeaseRequest, now: float
-    ) -> bool:
-        """Returns whether a server's load report is recent enough.
-
-        A server that reports no load can always be decided on.
-        """
-        if server.reports_load is False:
-            return True
-        oldest_sample_at = self.probed_at - FRESH_REPORT_S
-        if now - request.arrived_at > OLDER_REPORT_WAIT_S:
-            oldest_sample_at = min(
-                oldest_sample_at, now - OLDER_REPORT_MAX_AGE_S
-            )
-        return server.load_sampled_at >= oldest_sample_at
-
     def grant(
         self,
         request: LeaseRequest,
@@ -429,7 +353,7 @@
         wait_s = max(
             MIN_RETRY_AFTER_S,
             wait_s,
-            self.token_wait_s(request, now),
+            token_wait_s(self.servers.values(), request, now),
             self.overload.remaining_s(now),
         )
         wait_s *= random.uniform(1.0, 1.5)
@@ -445,40 +369,13 @@
         if lease is not None:
             if report.result is LeaseResult.ANSWERED:
                 self.processing_times.record(lease.route, report.duration_s)
-            self.record_outcome(server, lease, report, now)
+            median_s = self.processing_times.medians.get(lease.route, 0.0)
+            if tells_of_server(lease, report, median_s, self.overload, now):
+                self.ejection_change = record_outcome(
+                    server, self.servers.values(), lease, report, now
+                )
         return server.record_result(report.result, now)
 
-    def record_outcome(
-        self, server: ServerSlots, lease: Lease, report: Report, now: float
-    ) -> None:
-        """Ejects a server that fails, or has it return after a trial."""
-        outcome = OUTCOMES.get(report.result)
-        if outcome is None or not self.is_fault_of_server(lease, report, now):
-            return
-        ejection = server.ejection
-        service: list[Ejection] = []
-        if outcome is not Outcome.ANSWERED or ejection.suspected:
-            service = [slots.ejection for slots in self.servers.values()]
-        self.ejection_change = ejection.record(
-            outcome, lease.granted_at, service, now
-        )
-
-    def is_fault_of_server(
-        self, lease: Lease, report: Report, now: float
-    ) -> bool:
-        """Returns whether a result tells anything of the server itself.
-
-        That there was no response by the deadline doesn't during an overload,
-        or if the request had little time left.
-        """
-        deadline_at = lease.expires_at - LEASE_EXPIRY_MARGIN_S
-        if report.result is not LeaseResult.BROKEN or now < deadline_at:
-            return True
-        if self.overload.is_active(now):
-            return False
-        median_s = self.processing_times.medians.get(lease.route, 0.0)
-        return report.duration_s >= MIN_TIMEOUT_FACTOR * median_s
-
     def release(self, grant: Grant) -> None:
         """Releases a lease whose request no longer waits for it."""
         server = self.servers.get(grant.server)
