Tell coordinators how long a caller has been asking

A coordinator could not tell a retry from a first request. AskLease gets asked_before_s as its last field, 0.0 by default, which hosts of older builds ignore; Requirements carries it.

--- a/cowslipmill/fleet/messages.py
+++ b/cowslipmill/fleet/messages.py
@@ -162,6 +162,8 @@
         excluded: Names of the servers of earlier attempts.
         max_duration_s: Seconds within which the server must be expected to
             finish the request; None for any time.
+        asked_before_s: Seconds for which the caller has been asking; 0.0 for
+            its first request, and from hosts that don't tell.
     """
 
     key: LeaseKey
@@ -174,6 +176,7 @@
     kilobytes: float
     excluded: tuple[Name, ...]
     max_duration_s: float | None
+    asked_before_s: float = 0.0
 
 
 class CancelLease(Struct, frozen=True, array_like=True, tag='cancel-lease'):
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -449,6 +449,7 @@
                 ),
             ),
             max_duration_s=max_duration_s,
+            asked_before_s=context.arrived_at - context.first_sent_at,
         )
 
     def choose_next_step(
--- a/cowslipmill/leasing/leaseclient.py
+++ b/cowslipmill/leasing/leaseclient.py
@@ -172,6 +172,7 @@
             kilobytes=round(requirements.kilobytes, 1),
             excluded=requirements.excluded,
             max_duration_s=requirements.max_duration_s,
+            asked_before_s=round(requirements.asked_before_s, 4),
         )
 
     async def try_acquire(
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -536,6 +536,7 @@
             kilobytes=message.kilobytes,
             excluded=message.excluded,
             max_duration_s=message.max_duration_s,
+            asked_before_s=message.asked_before_s,
         )
         service, failure_domain = message.service, message.failure_domain
         if not self.reaches_servers(service, failure_domain):
--- a/cowslipmill/leasing/requirements.py
+++ b/cowslipmill/leasing/requirements.py
@@ -15,9 +15,12 @@
         excluded: Names of servers that were tried before.
         max_duration_s: Longest expected duration that is accepted, in
             seconds; None for any.
+        asked_before_s: For how long the caller has been asking, in seconds;
+            0.0 for its first request.
     """
 
     __slots__ = (
+        'asked_before_s',
         'deadline_at',
         'excluded',
         'kilobytes',
@@ -39,6 +42,7 @@
         kilobytes: float = 0.0,
         excluded: tuple[str, ...] = (),
         max_duration_s: float | None = None,
+        asked_before_s: float = 0.0,
     ) -> None:
         """Creates the requirements of one request."""
         self.service = service
@@ -49,6 +53,7 @@
         self.kilobytes = kilobytes
         self.excluded = excluded
         self.max_duration_s = max_duration_s
+        self.asked_before_s = asked_before_s
 
     def with_max_duration(self, max_duration_s: float) -> 'Requirements':
         """Returns a copy that accepts at most this expected duration."""
@@ -61,4 +66,5 @@
             kilobytes=self.kilobytes,
             excluded=self.excluded,
             max_duration_s=max_duration_s,
+            asked_before_s=self.asked_before_s,
         )
