--- a/cowslipmill/bench/placements.py
+++ b/cowslipmill/bench/placements.py
@@ -144,15 +144,19 @@
     def take(self, job: Job, now: float) -> None:
         """Queues a ticket."""
         self.jobs[job.number] = job
+        need = self.requirements(job, now)
+        self.home.enqueue(LeaseRequest((HOST, job.number), need, now))
+
+    def requirements(self, job: Job, now: float) -> Requirements:
+        """Returns what a job requires of a server."""
         scene = self.replay.scene
-        need = Requirements(
+        return Requirements(
             SERVICE,
             ROUTE,
             1,
             job.first_at + scene.objective_s,
             job.first_at + scene.deadline_s,
         )
-        self.home.enqueue(LeaseRequest((HOST, job.number), need, now))
 
     def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Reports the end of a lease."""
--- a/cowslipmill/bench/replay.py
+++ b/cowslipmill/bench/replay.py
@@ -217,13 +217,16 @@
         """Carries out what is decided."""
         for decision in placement.decide(self.now):
             if isinstance(decision, Started):
-                server = decision.server
-                server.running += 1
-                work_s = decision.job.work_s * server.slowdown
-                self.schedule(self.now + work_s, decision)
+                decision.server.running += 1
+                self.start(decision)
             else:
                 self.refuse(decision)
 
+    def start(self, started: Started) -> None:
+        """Begins a job at a server."""
+        work_s = started.job.work_s * started.server.slowdown
+        self.schedule(self.now + work_s, started)
+
     def refuse(self, refused: Refused) -> None:
         """Sends a caller away, who may come back."""
         job = refused.job
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -71,6 +71,8 @@
         probed_at: When servers were probed for the current decision, in
             monotonic seconds.
         wait_estimator: Estimates the wait in the queue.
+        weighs_cost: Whether it decides by what delays and refusals cost
+            callers, in a service that kinds of very different work share.
         ejection_change: How the last result changed whether its server is
             used; None if it didn't.
     """
@@ -85,6 +87,7 @@
         'queue',
         'servers',
         'wait_estimator',
+        'weighs_cost',
     )
 
     def __init__(self, failure_domain: str) -> None:
@@ -98,6 +101,7 @@
         self.probed_at = 0.0
         self.wait_estimator = WaitEstimator()
         self.ejection_change: Change | None = None
+        self.weighs_cost = False
 
     def set_servers(
         self, records: Iterable[tuple[ServerRecord, bool]], now: float
