--- a/cowslipmill/bench/clairvoyant.py
+++ b/cowslipmill/bench/clairvoyant.py
@@ -13,6 +13,8 @@
 
 from cowslipmill.bench.mixedreplay import Caller
 from cowslipmill.bench.mixedreplay import CallerJob
+from cowslipmill.bench.mixedreplay import COLD_FACTOR
+from cowslipmill.bench.mixedreplay import KNEE_FACTOR
 from cowslipmill.bench.mixedreplay import KNEE_SHARE
 from cowslipmill.bench.mixedreplay import MixedReplay
 from cowslipmill.bench.mixedreplay import ROUND_TRIP_S
@@ -21,6 +23,8 @@
 from cowslipmill.bench.replay import Refused
 from cowslipmill.bench.replay import SimulatedServer
 from cowslipmill.bench.replay import Started
+from cowslipmill.leasing.ratelimits import COORDINATOR_SHARES
+from cowslipmill.leasing.ratelimits import RateBucket
 
 # Plays of one load; the benefit changes by less than 0.01 after these.
 ITERATIONS = 14
@@ -29,8 +33,6 @@
 STEP_SHARE = 0.5
 # Servers with fewer slots are worth filling in spite of their slowdown.
 MIN_SLOTS_FOR_KNEE = 4
-# Requests that may be saved up of a cold server's limit.
-COLD_BURST = 2.0
 
 
 class HindsightPlacement:
@@ -44,10 +46,11 @@
             arrival.
         chosen: Heap of the chosen requests by their latest start.
         spare: Heap of the others by their work.
-        late: Numbers of chosen callers that could not start in time, with
-            when that was known.
+        late: Number of chosen requests that could not start in time, in the
+            busy period.
         busy_since: Since when chosen requests have been waiting.
         periods: Busy periods: begin, end and number of late requests.
+        buckets: Limits of cold servers by name.
     """
 
     def __init__(self, replay: MixedReplay, left_out: set[int]) -> None:
@@ -59,14 +62,14 @@
         self.late = 0
         self.busy_since: float | None = None
         self.periods: list[tuple[float, float, int]] = []
-        self.granted_cold: dict[str, int] = {}
+        self.buckets: dict[str, RateBucket] = {}
 
     def take(self, job: Job, now: float) -> None:
         """Takes in a request."""
         if job.number in self.left_out:
             heappush(self.spare, (False, job.work_s, job.number, job))
             return
-        latest = latest_start(job)
+        latest = self.latest_start(job)
         heappush(self.chosen, (latest, job.number, job))
 
     def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
@@ -99,7 +102,7 @@
             return heappop(self.chosen)[2]
         while self.spare:
             late, work_s, number, job = heappop(self.spare)
-            if not late and latest_start(job) < now:
+            if not late and self.latest_start(job) < now:
                 heappush(self.spare, (True, work_s, number, job))
                 continue
             assert isinstance(job, CallerJob)
@@ -126,14 +129,28 @@
         load = self.replay.load
         if load.cold_per_s is None or not self.replay.in_load:
             return True
-        tokens = COLD_BURST + load.cold_per_s * (now - load.begins_s)
-        return self.granted_cold.get(server.name, 0) + 1 <= tokens
+        bucket = self.buckets.get(server.name)
+        if bucket is None:
+            share, max_tokens = COORDINATOR_SHARES[0]
+            bucket = self.buckets[server.name] = RateBucket(now)
+            bucket.set_rate(share * load.cold_per_s, max_tokens, now)
+        return bucket.available(now) > 0
 
     def spend(self, server: SimulatedServer) -> None:
-        """Counts a request at a cold server."""
-        if self.replay.in_load:
-            count = self.granted_cold.get(server.name, 0)
-            self.granted_cold[server.name] = count + 1
+        """Takes the token of a request at a limited server."""
+        if server.name in self.buckets:
+            self.buckets[server.name].spend()
+
+    def latest_start(self, job: Job) -> float:
+        """Returns the latest start that meets the objective."""
+        assert isinstance(job, CallerJob)
+        factor = 1.0
+        if self.replay.scene.slots < MIN_SLOTS_FOR_KNEE:
+            factor *= KNEE_FACTOR
+        if self.replay.load.cold and self.replay.in_load:
+            factor *= COLD_FACTOR
+        objective_s = job.caller.kind.objective_s - ROUND_TRIP_S / 2
+        return job.first_at + objective_s - factor * job.work_s
 
     def update_period(self, now: float) -> None:
         """Records when chosen requests begin or cease to wait."""
@@ -153,13 +170,6 @@
     return int(KNEE_SHARE * slots)
 
 
-def latest_start(job: Job) -> float:
-    """Returns the latest start that meets the objective."""
-    assert isinstance(job, CallerJob)
-    objective_s = job.caller.kind.objective_s - ROUND_TRIP_S / 2
-    return job.first_at + objective_s - job.work_s
-
-
 def play_clairvoyant(make: Callable[[], MixedReplay]) -> MixedReplay:
     """Returns the replay with the most benefit that was found.
 
--- a/cowslipmill/bench/mixedplacements.py
+++ b/cowslipmill/bench/mixedplacements.py
@@ -1,14 +1,19 @@
 """Ways of placing the kinds of requests that share a service."""
 
 from cowslipmill.bench.mixedreplay import CallerJob
+from cowslipmill.bench.mixedreplay import COLD_FACTOR
 from cowslipmill.bench.mixedreplay import MixedReplay
+from cowslipmill.bench.mixedreplay import MixedServer
 from cowslipmill.bench.placements import Lending
 from cowslipmill.bench.placements import SERVICE
 from cowslipmill.bench.replay import Job
 from cowslipmill.bench.replay import Refused
+from cowslipmill.bench.replay import SimulatedServer
 from cowslipmill.bench.replay import Started
+from cowslipmill.leasing.load import Load
 from cowslipmill.leasing.ratelimits import COORDINATOR_SHARES
 from cowslipmill.leasing.requirements import Requirements
+from cowslipmill.leasing.slots import ServerSlots
 
 
 class MixedLending(Lending):
@@ -42,12 +47,22 @@
             asked_before_s=now - job.first_at,
         )
 
+    def report(self, known: ServerSlots, server: SimulatedServer) -> Load:
+        """Returns the load report of a server, which doesn't count warm-up."""
+        assert isinstance(server, MixedServer)
+        slowdown = server.slowdown
+        if server.cold:
+            slowdown /= COLD_FACTOR
+        return Load(server.running, 0, known.record.slots, slowdown)
+
     def decide(self, now: float) -> list[Started | Refused]:
         """Limits cold servers and decides."""
         if self.mixed.load.cold_per_s is not None:
             per_s = self.mixed.load.cold_per_s if self.mixed.in_load else None
             share, max_tokens = COORDINATOR_SHARES[0]
             for server in self.home.servers.values():
+                if per_s is not None:
+                    server.cold_until = self.mixed.load.ends_s
                 limit = None if per_s is None else share * per_s
                 server.limit_rate(limit, max_tokens, now)
         return super().decide(now)
--- a/cowslipmill/bench/mixedreplay.py
+++ b/cowslipmill/bench/mixedreplay.py
@@ -162,16 +162,18 @@
     Attributes:
         slots: Number of its slots.
         factor: Factor on work that begins now, without short slow periods.
+        cold: Whether it is cold.
         most: Largest number of requests that it had at a time.
     """
 
-    __slots__ = ('factor', 'most', 'slots')
+    __slots__ = ('cold', 'factor', 'most', 'slots')
 
     def __init__(self, name: str, slots: int) -> None:
         """Starts idle and fast."""
         super().__init__(name)
         self.slots = slots
         self.factor = 1.0
+        self.cold = False
         self.most = 0
 
     @property
@@ -238,7 +240,8 @@
             assert isinstance(server, MixedServer)
             server.slow = self.noise.random() < SLOW_SHARE
             server.factor = 1.0
-            if self.in_load and self.load.cold:
+            server.cold = self.in_load and self.load.cold
+            if server.cold:
                 server.factor = COLD_FACTOR
             elif self.in_load and index < slow_count:
                 server.factor = self.load.slow_factor
--- a/cowslipmill/bench/placements.py
+++ b/cowslipmill/bench/placements.py
@@ -15,6 +15,7 @@
 from cowslipmill.leasing.load import Load
 from cowslipmill.leasing.requirements import Requirements
 from cowslipmill.leasing.scheduler import SlotScheduler
+from cowslipmill.leasing.slots import ServerSlots
 from cowslipmill.view.server import ServerRecord
 
 HOSTS = 18
@@ -158,6 +159,10 @@
             job.first_at + scene.deadline_s,
         )
 
+    def report(self, known: ServerSlots, server: SimulatedServer) -> Load:
+        """Returns the load report of a server."""
+        return Load(server.running, 0, known.record.slots, server.slowdown)
+
     def end(self, job: Job, server: SimulatedServer, took_s: float) -> None:
         """Reports the end of a lease."""
         now = self.replay.now
@@ -179,9 +184,7 @@
             if server.down:
                 known.record_probe_failure(now)
                 continue
-            slots = known.record.slots
-            load = Load(server.running, 0, slots, server.slowdown)
-            known.record_load(load, now, now)
+            known.record_load(self.report(known, server), now, now)
         decisions: list[Started | Refused] = []
         for decision in self.home.decide(now, self.random):
             if isinstance(decision, AskOtherDomains):
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -13,6 +13,7 @@
 
 from cowslipmill.leasing.admission import admit_late_to_queue
 from cowslipmill.leasing.admission import admit_to_queue
+from cowslipmill.leasing.costdecision import CostDecision
 from cowslipmill.leasing.ejection import Change
 from cowslipmill.leasing.ejection import update_limits
 from cowslipmill.leasing.estimate import is_temporarily_slow
@@ -61,6 +62,7 @@
     """Assigns the slots of one service's servers in one failure domain.
 
     Attributes:
+        cost_decision: Decides if `weighs_cost`.
         failure_domain: Failure domain of its servers.
         servers: State of the servers by name.
         queue: Queued requests, in the order in which they are served.
@@ -78,6 +80,7 @@
     """
 
     __slots__ = (
+        'cost_decision',
         'ejection_change',
         'failure_domain',
         'other_domains_available',
@@ -102,6 +105,7 @@
         self.wait_estimator = WaitEstimator()
         self.ejection_change: Change | None = None
         self.weighs_cost = False
+        self.cost_decision = CostDecision()
 
     def set_servers(
         self, records: Iterable[tuple[ServerRecord, bool]], now: float
@@ -163,6 +167,8 @@
         for server in self.servers.values():
             server.expire_leases(now)
         self.wait_estimator.update(self.servers.values(), now)
+        if self.weighs_cost:
+            return self.cost_decision.decide(self, now, random)
         decisions: list[Decision] = []
         still_queued: list[LeaseRequest] = []
         # Requests that can't be in time yield to those that can.
@@ -223,16 +229,9 @@
         if best is not None:
             wait_s = max(FAST_SERVER_WAIT_S, wait_s)
         slack_s = self.slack_s(request, now)
-        max_duration_s = wait_s + processing_s - self.remote_penalty_s(request)
-        if slack_s < max(FAST_SERVER_WAIT_S, wait_s):
-            # It would be late in this failure domain, which costs more than
-            # the way to another one.
-            max_duration_s = max(max_duration_s, remaining_s - REMOTE_DELAY_S)
-        if (
-            self.may_ask_other_domains(request, now)
-            and max_duration_s > PROCESSING_MARGIN * processing_s
-        ):
-            return AskOtherDomains(request, max_duration_s)
+        attempt = self.remote_attempt(request, wait_s, processing_s, now)
+        if attempt is not None:
+            return attempt
         if len(self.queue) > MAX_QUEUED or not self.servers:
             return self.refuse(request, 'no server', now, random)
         if slack_s > 0.0:
@@ -297,12 +296,34 @@
             return None
         return self.refuse(request, 'overloaded', now, random)
 
-    def may_ask_other_domains(self, request: LeaseRequest, now: float) -> bool:
-        """Returns whether other failure domains may be asked now."""
-        return (
-            self.other_domains_available
-            and now >= request.next_remote_attempt_at
-        )
+    def remote_attempt(
+        self,
+        request: LeaseRequest,
+        wait_s: float,
+        processing_s: float,
+        now: float,
+    ) -> AskOtherDomains | None:
+        """Returns the decision to ask other failure domains, if it may help.
+
+        Args:
+            request: The request.
+            wait_s: Expected wait in this failure domain, in seconds.
+            processing_s: Processing time on an idle server, in seconds.
+            now: Monotonic seconds.
+        """
+        if not self.other_domains_available:
+            return None
+        if now < request.next_remote_attempt_at:
+            return None
+        max_duration_s = wait_s + processing_s - self.remote_penalty_s(request)
+        if self.slack_s(request, now) < max(FAST_SERVER_WAIT_S, wait_s):
+            # It would be late in this failure domain, which costs more than
+            # the way to another one.
+            remaining_s = request.requirements.objective_at - now
+            max_duration_s = max(max_duration_s, remaining_s - REMOTE_DELAY_S)
+        if max_duration_s <= PROCESSING_MARGIN * processing_s:
+            return None
+        return AskOtherDomains(request, max_duration_s)
 
     def remote_penalty_s(self, request: LeaseRequest) -> float:
         """Returns the time that a server elsewhere has to save, in seconds."""
@@ -371,6 +392,12 @@
             return False
         lease = server.release(report.key)
         if lease is not None:
+            answered = report.result is LeaseResult.ANSWERED
+            self.cost_decision.works.record_result(
+                report.key,
+                lease.route,
+                report.duration_s if answered else None,
+            )
             if report.result is LeaseResult.ANSWERED:
                 self.processing_times.record(lease.route, report.duration_s)
             median_s = self.processing_times.medians.get(lease.route, 0.0)
