Use the decision by cost where the configuration has a bulk route

Coordinators' schedulers are told by update_servers. Refusals carry what was weighed, as work_ms and room in the log, and cowslipmill_host_left_out_total counts requests that are left out.

--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -341,6 +341,7 @@
             )
             if isinstance(grant, Refusal):
                 self.request_log.not_placed(context, grant)
+                context.refusal = grant
                 return grant
             used = False
             try:
--- a/cowslipmill/forwarding/requestcontext.py
+++ b/cowslipmill/forwarding/requestcontext.py
@@ -3,6 +3,7 @@
 from cowslipmill.forwarding.attempts import Attempts
 from cowslipmill.forwarding.fingerprints import Fingerprints
 from cowslipmill.http1.message import Request
+from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.view.configuration import Route
 
 
@@ -43,6 +44,8 @@
         caller_left: Whether the caller has disconnected.
         trial_sends: Number of sends before it became a trial of a suspect
             request, which may be sent once more; None if it is none.
+        refusal: The last refusal of a slot by a coordinator; None if there
+            was none.
     """
 
     __slots__ = (
@@ -51,6 +54,7 @@
         'caller_left',
         'fingerprints',
         'first_sent_at',
+        'refusal',
         'route',
         'service',
         'trial_sends',
@@ -76,3 +80,4 @@
         self.first_sent_at = arrived_at
         self.caller_left = False
         self.trial_sends: int | None = None
+        self.refusal: Refusal | None = None
--- a/cowslipmill/host/requestlog.py
+++ b/cowslipmill/host/requestlog.py
@@ -101,6 +101,8 @@
                 'waiting': refusal.waiting,
                 'home': refusal.coordinator[0],
                 'retry_after_ms': to_milliseconds(refusal.retry_after_s),
+                'work_ms': to_milliseconds(refusal.work_s),
+                'room': refusal.room,
             },
         )
 
@@ -232,6 +234,9 @@
         }
         if retry_after_s is not None:
             extra['retry_after_ms'] = to_milliseconds(retry_after_s)
+        if retry_after_s is not None and context.refusal is not None:
+            extra['work_ms'] = to_milliseconds(context.refusal.work_s)
+            extra['room'] = context.refusal.room
         LOG.info(outcome, extra=extra)
 
     def unrouted(self, request_id: str, reason: str, status: int) -> None:
--- a/cowslipmill/leasing/costdecision.py
+++ b/cowslipmill/leasing/costdecision.py
@@ -10,6 +10,8 @@
 from random import Random
 from typing import Protocol
 
+from prometheus_client import Counter
+
 from cowslipmill.leasing.capacity import measure_speed
 from cowslipmill.leasing.capacity import stays_slow
 from cowslipmill.leasing.demand import Demand
@@ -32,12 +34,12 @@
 
 # Share of the slack before its deadline that the expected wait of late work
 # may take, since on-time work that arrives later goes first.
-LATE_WAIT_SHARE = 0.5
+LATE_WAIT_SHARE = 0.25
 # Share of the time that a request could wait at most that the margin for
 # unusual work takes: at cold servers the usual work leaves little time.
 MAX_MARGIN_SHARE = 0.35
 # Least share of the capacity that counts as spare; a burst ends some time.
-MIN_SPARE_SHARE = 0.1
+MIN_SPARE_SHARE = 0.05
 # Callers honour `Retry-After` up to this share of their remaining time. A
 # longer delay would be cut to the same one for all, without its spread.
 HONOURED_SHARE = 1 / 3
@@ -51,6 +53,13 @@
 MAX_QUEUED = 2_048
 
 
+LEFT_OUT = Counter(
+    'cowslipmill_host_left_out_total',
+    'Requests left out of those that this coordinator serves in time.',
+    ('reason',),
+)
+
+
 class SlotAssigner(Protocol):
     """The scheduler for which decisions are made.
 
@@ -198,6 +207,10 @@
             self.decide_on_time(candidate)
         for request in immediate:
             self.decide_immediate(request)
+        for candidate in late:
+            record_left_out(candidate.request, 'late')
+        for candidate in selection.left_out:
+            record_left_out(candidate.request, 'no room')
         late += selection.left_out
         late.sort(
             key=lambda candidate: (
@@ -273,6 +286,7 @@
             self.scheduler.grant(request, best, duration_s, self.now)
         )
         self.demand.record_decision(request.requirements.route, True, self.now)
+        self.works.record_grant(request, duration_s)
         if not has_free_slot(best, self.now):
             self.free.remove(best)
         return True
@@ -357,5 +371,20 @@
                 'overloaded' if self.scheduler.servers else 'no server',
                 retry_after_s,
                 len(self.scheduler.queue),
+                work_s=round(candidate.work_s, 4),
+                room=round(self.capacity, 2),
             )
         )
+
+
+def record_left_out(request: LeaseRequest, reason: str) -> None:
+    """Counts a request that is left out for the first time.
+
+    Args:
+        request: The request.
+        reason: `late` if it can't meet its objective, `no room` if others
+            are served in time instead.
+    """
+    if not request.left_out:
+        request.left_out = True
+        LEFT_OUT.labels(reason).inc()
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -208,6 +208,10 @@
                 for entry in servers
             )
         )
+        configuration = self.view.configuration
+        coordinator.scheduler.weighs_cost = configuration is not None and any(
+            route.bulk for route in configuration.routes
+        )
         service_settings = self.view.services.get(service)
         if service_settings is not None:
             coordinator.health_path = service_settings.health_path
@@ -536,7 +540,7 @@
             kilobytes=message.kilobytes,
             excluded=message.excluded,
             max_duration_s=message.max_duration_s,
-            asked_before_s=message.asked_before_s,
+            asked_before_s=max(0.0, message.asked_before_s),
         )
         service, failure_domain = message.service, message.failure_domain
         if not self.reaches_servers(service, failure_domain):
--- a/cowslipmill/leasing/leaserequest.py
+++ b/cowslipmill/leasing/leaserequest.py
@@ -58,6 +58,7 @@
             each request is put until the first decision on it.
         admitted_late: Whether admission control let it stay in the queue
             although it will be late.
+        left_out: Whether it was left out of those served in time.
         may_move: Whether another host may coordinate it if this one reaches
             none of the servers.
     """
@@ -67,6 +68,7 @@
         'admitted_late',
         'arrived_at',
         'key',
+        'left_out',
         'may_move',
         'next_remote_attempt_at',
         'remote_attempt_pending',
@@ -90,6 +92,7 @@
         self.remote_attempt_pending = False
         self.admitted = False
         self.admitted_late = False
+        self.left_out = False
 
 
 class Grant(Struct, frozen=True, array_like=True, tag='grant'):
@@ -131,6 +134,9 @@
         waiting: Number of requests queued at the coordinator.
         coordinator: Address of the coordinator that refused it; an empty
             host for the coordinator of the same process.
+        work_s: Processing time that the request needs, in seconds; 0.0 if
+            that wasn't weighed.
+        room: Number of slots that serve the queue; 0.0 likewise.
     """
 
     key: LeaseKey
@@ -138,6 +144,8 @@
     retry_after_s: float
     waiting: int
     coordinator: tuple[str, int] = ('', 0)
+    work_s: float = 0.0
+    room: float = 0.0
 
 
 class AskOtherDomains:
--- a/cowslipmill/leasing/selection.py
+++ b/cowslipmill/leasing/selection.py
@@ -113,11 +113,11 @@
     work_s = 0.0
     for index, candidate in enumerate(ordered):
         work_s += candidate.work_s
-        heappush(heap, (loss_rank(candidate, protected_routes), index))
+        heappush(heap, (loss_rank(candidate, protected_routes), -index))
         while index not in left_out and (
             work_s > candidate.wait_limit_s * capacity
         ):
-            _, loser = heappop(heap)
+            loser = -heappop(heap)[1]
             left_out.add(loser)
             work_s -= ordered[loser].work_s
     work_s = 0.0
--- a/cowslipmill/leasing/worktimes.py
+++ b/cowslipmill/leasing/worktimes.py
@@ -12,7 +12,7 @@
 # Relative step of the running quantiles for each duration.
 STEP = 0.02
 # Share of the durations that are below the upper work of a route.
-UPPER_QUANTILE = 0.85
+UPPER_QUANTILE = 0.95
 # Upper work relative to the typical one: before any was measured, and at most,
 # since durations in slow periods say nothing of the work.
 DEFAULT_UPPER_FACTOR = 1.3
