Keep larger requests out where smaller ones were left out

An admitted request stays, so the work of requests hardly counted: whoever came when the queue was short was served. A new request now gets no longer a wait than smaller ones of its priority that were left out in the last 0.25 s.

--- a/cowslipmill/bench/mixedloads.py
+++ b/cowslipmill/bench/mixedloads.py
@@ -220,6 +220,21 @@
     return LoadOutcome(benefit, overfull, kinds)
 
 
+def play_groups(
+    service: MixedService, load: Load, seeds: Iterable[int]
+) -> dict[bool, float]:
+    """Returns the share of benefit by whether callers retry at once.
+
+    They are decided on by what delays and refusals cost callers.
+    """
+    benefits: dict[bool, list[float]] = {False: [], True: []}
+    for seed in seeds:
+        for caller in play_way(service, load, 'new', seed).callers:
+            if load.begins_s <= caller.first_at < load.ends_s:
+                benefits[caller.impatient].append(caller.benefit)
+    return {key: sum(b) / len(b) for key, b in benefits.items()}
+
+
 def summarize(callers: Sequence[Caller]) -> KindOutcome:
     """Returns what became of callers."""
     waits: list[float] = []
--- a/cowslipmill/leasing/costdecision.py
+++ b/cowslipmill/leasing/costdecision.py
@@ -8,7 +8,6 @@
 """
 
 from random import Random
-from typing import Protocol
 
 from prometheus_client import Counter
 
@@ -16,20 +15,18 @@
 from cowslipmill.leasing.capacity import stays_slow
 from cowslipmill.leasing.demand import Demand
 from cowslipmill.leasing.estimate import is_temporarily_slow
-from cowslipmill.leasing.leaserequest import AskOtherDomains
 from cowslipmill.leasing.leaserequest import Decision
-from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import Refusal
-from cowslipmill.leasing.overload import Overload
+from cowslipmill.leasing.remoteattempt import FAST_SERVER_WAIT_S
 from cowslipmill.leasing.selection import Candidate
 from cowslipmill.leasing.selection import has_waited_before
+from cowslipmill.leasing.selection import limit_wait
 from cowslipmill.leasing.selection import select_on_time
 from cowslipmill.leasing.serverchoice import find_best_server
 from cowslipmill.leasing.serverchoice import has_free_slot
 from cowslipmill.leasing.serverchoice import token_wait_s
-from cowslipmill.leasing.slots import ServerSlots
-from cowslipmill.leasing.waitestimator import WaitEstimator
+from cowslipmill.leasing.slotassigner import SlotAssigner
 from cowslipmill.leasing.worktimes import WorkTimes
 
 # Share of the slack before its deadline that the expected wait of late work
@@ -47,9 +44,6 @@
 RETRY_SPREAD = 1.5
 # Shortest retry delay of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.05
-# Expected wait until a server with a free slot is fast again, less than the
-# mean remaining time of one slow period since any of the servers will do.
-FAST_SERVER_WAIT_S = 0.05
 MAX_QUEUED = 2_048
 
 
@@ -60,48 +54,6 @@
 )
 
 
-class SlotAssigner(Protocol):
-    """The scheduler for which decisions are made.
-
-    Attributes:
-        servers: State of the servers by name.
-        queue: Queued requests.
-        overload: The overload of the service, if there is one.
-        probed_at: When servers were probed for this decision, in monotonic
-            seconds.
-        wait_estimator: Estimates the capacity.
-    """
-
-    servers: dict[str, ServerSlots]
-    queue: list[LeaseRequest]
-    overload: Overload
-    probed_at: float
-    wait_estimator: WaitEstimator
-
-    def decide_one(
-        self, request: LeaseRequest, ahead: int, now: float, random: Random
-    ) -> Decision | None:
-        """Returns the decision on a request that is granted or refused."""
-
-    def grant(
-        self,
-        request: LeaseRequest,
-        server: ServerSlots,
-        duration_s: float,
-        now: float,
-    ) -> Grant:
-        """Grants a request a lease on a slot of a server."""
-
-    def remote_attempt(
-        self,
-        request: LeaseRequest,
-        wait_s: float,
-        processing_s: float,
-        now: float,
-    ) -> AskOtherDomains | None:
-        """Returns the decision to ask other domains, if that may help."""
-
-
 class CostDecision:
     """Decides rounds of one scheduler.
 
@@ -201,6 +153,10 @@
                 or scheduler.overload.is_active(self.now)
             )
         protected = self.demand.protected_routes(self.now)
+        recent = self.demand.recently_left_out(self.now)
+        for candidate in candidates:
+            if candidate.request.requirements.route not in protected:
+                limit_wait(candidate, recent)
         selection = select_on_time(candidates, self.capacity, protected)
         self.contended |= bool(selection.left_out)
         for candidate in selection.on_time:
@@ -210,7 +166,7 @@
         for candidate in late:
             record_left_out(candidate.request, 'late')
         for candidate in selection.left_out:
-            record_left_out(candidate.request, 'no room')
+            self.record_no_room(candidate)
         late += selection.left_out
         late.sort(
             key=lambda candidate: (
@@ -226,6 +182,20 @@
         scheduler.queue = self.still_queued
         return self.decisions
 
+    def record_no_room(self, candidate: Candidate) -> None:
+        """Records a request that is left out though it could be in time."""
+        request = candidate.request
+        if not request.admitted and not request.left_out:
+            requirements = request.requirements
+            self.demand.record_left_out(
+                requirements.route,
+                requirements.priority,
+                candidate.work_s,
+                candidate.wait_limit_s,
+                self.now,
+            )
+        record_left_out(request, 'no room')
+
     def slack_s(self, request: LeaseRequest) -> float:
         """Returns how long a request may wait and meet its objective.
 
--- a/cowslipmill/leasing/demand.py
+++ b/cowslipmill/leasing/demand.py
@@ -5,6 +5,7 @@
 """
 
 from math import exp
+from typing import NamedTuple
 
 from cowslipmill.runtime.names import BoundedDict
 
@@ -21,6 +22,11 @@
 MIN_DECISIONS = 4.0
 
 
+# For this long, a request that was left out keeps larger ones from being
+# admitted; as long as an overload is taken to last without a refusal.
+LEFT_OUT_S = 0.25
+
+
 class DecayingSum:
     """A sum whose terms decay.
 
@@ -77,6 +83,22 @@
         return self.granted.at(now) / decided
 
 
+class LeftOut(NamedTuple):
+    """A request that was left out while it had not waited.
+
+    Attributes:
+        at: When, in monotonic seconds.
+        priority: Its priority.
+        work_s: Work that it needs, in seconds.
+        wait_limit_s: Wait with which it would have been selected, in seconds.
+    """
+
+    at: float
+    priority: int
+    work_s: float
+    wait_limit_s: float
+
+
 class Demand:
     """Arriving work and granted fractions of one service.
 
@@ -85,15 +107,17 @@
             seconds.
         all_routes: Granted fraction of all routes.
         routes: Granted fractions by route.
+        left_out: Last request that was left out by route.
     """
 
-    __slots__ = ('all_routes', 'on_time_work', 'routes')
+    __slots__ = ('all_routes', 'left_out', 'on_time_work', 'routes')
 
     def __init__(self) -> None:
         """Starts without requests."""
         self.on_time_work = DecayingSum(ARRIVALS_AVERAGING_S)
         self.all_routes = GrantedFraction()
         self.routes: dict[str, GrantedFraction] = BoundedDict()
+        self.left_out: dict[str, LeftOut] = BoundedDict()
 
     def record_arrival(self, work_s: float, now: float) -> None:
         """Records the work of a request that can start in time."""
@@ -108,6 +132,34 @@
         fraction.record(granted, now)
         self.all_routes.record(granted, now)
 
+    def record_left_out(
+        self,
+        route: str,
+        priority: int,
+        work_s: float,
+        wait_limit_s: float,
+        now: float,
+    ) -> None:
+        """Records a request that was left out while it had not waited.
+
+        Args:
+            route: Its route.
+            priority: Its priority.
+            work_s: Work that it needs, in seconds.
+            wait_limit_s: Wait with which it would have been selected, in
+                seconds.
+            now: Monotonic seconds.
+        """
+        self.left_out[route] = LeftOut(now, priority, work_s, wait_limit_s)
+
+    def recently_left_out(self, now: float) -> list[LeftOut]:
+        """Returns requests left out lately, at most one for each route."""
+        return [
+            left_out
+            for left_out in self.left_out.values()
+            if now - left_out.at <= LEFT_OUT_S
+        ]
+
     def arriving_slots(self, now: float) -> float:
         """Returns how many slots the arriving work on time keeps busy."""
         return self.on_time_work.at(now) / ARRIVALS_AVERAGING_S
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -29,6 +29,9 @@
 from cowslipmill.leasing.outcomes import tells_of_server
 from cowslipmill.leasing.overload import Overload
 from cowslipmill.leasing.processingtimes import ProcessingTimes
+from cowslipmill.leasing.remoteattempt import choose_remote_attempt
+from cowslipmill.leasing.remoteattempt import FAST_SERVER_WAIT_S
+from cowslipmill.leasing.remoteattempt import PROCESSING_MARGIN
 from cowslipmill.leasing.sampling import count_free_fast_slots
 from cowslipmill.leasing.sampling import select_servers_to_probe
 from cowslipmill.leasing.serverchoice import find_best_server
@@ -38,23 +41,12 @@
 from cowslipmill.leasing.waitestimator import WaitEstimator
 from cowslipmill.view.server import ServerRecord
 
-# Expected wait until a server with a free slot is fast again, less than the
-# mean remaining time of one slow period since any of the servers will do.
-FAST_SERVER_WAIT_S = 0.05
-# Time that a server in another failure domain has to save for each kilobyte
-# sent there.
-REMOTE_PENALTY_S_PER_KB = 0.02
-# Delay of a grant from another failure domain and of the longer network path.
-REMOTE_DELAY_S = 0.004
 # Pause between two attempts at other failure domains for one request.
 REMOTE_ATTEMPT_PAUSE_S = 0.05
 # Shortest retry delay of a refusal.
 MIN_RETRY_AFTER_S = 0.05
 # Retry delay when no server is known.
 NO_SERVER_RETRY_AFTER_S = 0.5
-# Slack is computed so that a request that is processed this many times as long
-# as usual still meets its objective.
-PROCESSING_MARGIN = 1.1
 MAX_QUEUED = 2_048
 
 
@@ -315,21 +307,9 @@
             return None
         if now < request.next_remote_attempt_at:
             return None
-        max_duration_s = wait_s + processing_s - self.remote_penalty_s(request)
-        if self.slack_s(request, now) < max(FAST_SERVER_WAIT_S, wait_s):
-            # It would be late in this failure domain, which costs more than
-            # the way to another one.
-            remaining_s = request.requirements.objective_at - now
-            max_duration_s = max(max_duration_s, remaining_s - REMOTE_DELAY_S)
-        if max_duration_s <= PROCESSING_MARGIN * processing_s:
-            return None
-        return AskOtherDomains(request, max_duration_s)
-
-    def remote_penalty_s(self, request: LeaseRequest) -> float:
-        """Returns the time that a server elsewhere has to save, in seconds."""
-        return (
-            REMOTE_DELAY_S
-            + REMOTE_PENALTY_S_PER_KB * request.requirements.kilobytes
+        slack_s = self.slack_s(request, now)
+        return choose_remote_attempt(
+            request, wait_s, processing_s, slack_s, now
         )
 
     def end_remote_attempt(self, request: LeaseRequest, now: float) -> None:
--- a/cowslipmill/leasing/selection.py
+++ b/cowslipmill/leasing/selection.py
@@ -11,6 +11,7 @@
 from heapq import heappush
 from typing import NamedTuple
 
+from cowslipmill.leasing.demand import LeftOut
 from cowslipmill.leasing.leaserequest import LeaseRequest
 
 # Share of its slack that the expected wait of a new request may take, since
@@ -155,3 +156,24 @@
 def has_waited_before(request: LeaseRequest) -> bool:
     """Returns whether the caller was refused and has waited since."""
     return request.requirements.asked_before_s >= MIN_RETRY_PAUSE_S
+
+
+def limit_wait(candidate: Candidate, left_out: list[LeftOut]) -> None:
+    """Leaves a new request out where cheaper ones have just been.
+
+    Admitted requests stay, so that a large one must be kept from admission
+    before the smaller ones of its priority arrive that it would displace.
+
+    Args:
+        candidate: The request.
+        left_out: Requests left out lately.
+    """
+    request = candidate.request
+    if request.admitted:
+        return
+    for other in left_out:
+        if other.priority != request.requirements.priority:
+            continue
+        if other.work_s < candidate.work_s:
+            limit_s = other.wait_limit_s * other.work_s / candidate.work_s
+            candidate.wait_limit_s = min(candidate.wait_limit_s, limit_s)
