--- a/cowslipmill/fleet/tests/test_compatibility.py
+++ b/cowslipmill/fleet/tests/test_compatibility.py
@@ -5,13 +5,16 @@
 server, and comparisons without end.
 """
 
+import msgspec
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from cowslipmill.fleet.memberlist import MemberList
+from cowslipmill.fleet.messages import AskLease
 from cowslipmill.fleet.messages import Member
 from cowslipmill.forwarding.fingerprints import fingerprints_of
 from cowslipmill.http1.message import Request
+from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.suspects.suspects import SuspectRequests
 from cowslipmill.view.revision import make_revision
 
@@ -67,3 +70,44 @@
 def test_revisions_order_alike_over_eras() -> None:
     """Else a build would take an older entry for the newer one."""
     assert_that(make_revision(1, 7), Equals(17592186044423))
+
+
+def test_a_lease_request_of_the_previous_build_is_read() -> None:
+    """Else hosts of the previous build would get no slots from this one."""
+    fields = [
+        'ask-lease',
+        ['host-1', 1],
+        'catalogue',
+        'domain-a',
+        'lookups',
+        1,
+        0.9,
+        3.4,
+        1.0,
+        [],
+        None,
+    ]
+    message = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(fields), type=AskLease
+    )
+    assert_that(message.asked_before_s, Equals(0.0))
+
+
+def test_a_longer_refusal_is_read_by_the_previous_build() -> None:
+    """Else refusals would look like lost calls during an upgrade."""
+
+    class PreviousRefusal(
+        msgspec.Struct, frozen=True, array_like=True, tag='refusal'
+    ):
+        key: tuple[str, int]
+        reason: str
+        retry_after_s: float
+        waiting: int
+        coordinator: tuple[str, int] = ('', 0)
+
+    refusal = Refusal(
+        ('host-1', 1), 'overloaded', 0.5, 3, work_s=0.3, room=2.0
+    )
+    encoded = msgspec.msgpack.encode(refusal)
+    previous = msgspec.msgpack.decode(encoded, type=PreviousRefusal)
+    assert_that(previous.retry_after_s, Equals(0.5))
--- a/cowslipmill/leasing/selection.py
+++ b/cowslipmill/leasing/selection.py
@@ -29,6 +29,11 @@
 # than it takes to retry three times without a pause.
 MIN_RETRY_PAUSE_S = 0.05
 
+# Power of the ratio of works by which the wait of a larger request is limited
+# below its own limit: 1 hardly left larger ones out, 3 left them out where
+# they could have waited.
+WORK_EXPONENT = 2.0
+
 LossRank = tuple[bool, int, bool, bool, float, float]
 
 
@@ -171,9 +176,11 @@
     request = candidate.request
     if request.admitted:
         return
+    full_limit_s = candidate.wait_limit_s
     for other in left_out:
         if other.priority != request.requirements.priority:
             continue
         if other.work_s < candidate.work_s:
-            limit_s = other.wait_limit_s * other.work_s / candidate.work_s
+            share = (other.work_s / candidate.work_s) ** WORK_EXPONENT
+            limit_s = share * full_limit_s
             candidate.wait_limit_s = min(candidate.wait_limit_s, limit_s)
--- a/cowslipmill/leasing/worktimes.py
+++ b/cowslipmill/leasing/worktimes.py
@@ -16,7 +16,7 @@
 # Upper work relative to the typical one: before any was measured, and at most,
 # since durations in slow periods say nothing of the work.
 DEFAULT_UPPER_FACTOR = 1.3
-MAX_UPPER_FACTOR = 1.5
+MAX_UPPER_FACTOR = 2.0
 # Share of the objective that is assumed as the work of a route before any was
 # measured.
 DEFAULT_OBJECTIVE_SHARE = 0.35
