--- a/cowslipmill/fleet/tests/test_compatibility.py
+++ b/cowslipmill/fleet/tests/test_compatibility.py
@@ -8,18 +8,21 @@
 from random import Random
 from typing import Any
 
+import msgspec
 from msgspec import Struct
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from cowslipmill.fleet.gossip import Gossip
 from cowslipmill.fleet.memberlist import MemberList
+from cowslipmill.fleet.messages import AskLease
 from cowslipmill.fleet.messages import Member
 from cowslipmill.fleet.messages import MESSAGES
 from cowslipmill.fleet.messages import News
 from cowslipmill.fleet.rpc import MAX_MESSAGE_BYTES
 from cowslipmill.forwarding.fingerprints import fingerprints_of
 from cowslipmill.http1.message import Request
+from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.peers.frame import Frame
 from cowslipmill.peers.frame import FrameKind
 from cowslipmill.peers.frame import make_frame_codec
@@ -225,3 +228,44 @@
     events = view.evacuations.events_of_list(relayed.evacuations, 0)
     assert_that(events, Equals([]))
     assert_that(view.evacuations.active, Equals({'domain-b'}))
+
+
+def test_a_lease_request_of_the_previous_build_is_read() -> None:
+    """Else hosts of the previous build would get no slots from this one."""
+    fields = [
+        'ask-lease',
+        ['host-1', 1],
+        'catalogue',
+        'domain-a',
+        'lookups',
+        1,
+        0.9,
+        3.4,
+        1.0,
+        [],
+        None,
+    ]
+    message = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(fields), type=AskLease
+    )
+    assert_that(message.asked_before_s, Equals(0.0))
+
+
+def test_a_longer_refusal_is_read_by_the_previous_build() -> None:
+    """Else refusals would look like lost calls during an upgrade."""
+
+    class PreviousRefusal(
+        msgspec.Struct, frozen=True, array_like=True, tag='refusal'
+    ):
+        key: tuple[str, int]
+        reason: str
+        retry_after_s: float
+        waiting: int
+        coordinator: tuple[str, int] = ('', 0)
+
+    refusal = Refusal(
+        ('host-1', 1), 'overloaded', 0.5, 3, work_s=0.3, room=2.0
+    )
+    encoded = msgspec.msgpack.encode(refusal)
+    previous = msgspec.msgpack.decode(encoded, type=PreviousRefusal)
+    assert_that(previous.retry_after_s, Equals(0.5))
--- a/cowslipmill/forwarding/forwarder.py
+++ b/cowslipmill/forwarding/forwarder.py
@@ -352,6 +352,7 @@
             )
             if isinstance(grant, Refusal):
                 self.request_log.not_placed(context, grant)
+                context.refusal = grant
                 return grant
             used = False
             try:
@@ -460,6 +461,7 @@
                 ),
             ),
             max_duration_s=max_duration_s,
+            asked_before_s=context.arrived_at - context.first_sent_at,
         )
 
     def choose_next_step(
