Treat statuses outside 100 to 599 as invalid responses

On other systems a failing server sent status 000 and callers got it.

Such a response now fails the exchange as one that isn't HTTP does: the outcome is unknown, the connection is closed, and only idempotent requests are sent again. The entry does the same, and so does a host for a response that another one relays; hosts of older builds hand on any status.

Eleven of the new tests failed before: four of a server's connection, two of the entry, five of relays. Those three files pass, and so do the 12 tests of broken framing through whole hosts, which now include 600 and 999.

--- a/cowslipmill/entry/tests/test_upstream.py
+++ b/cowslipmill/entry/tests/test_upstream.py
@@ -216,6 +216,18 @@
             b'Connection: upgrade\r\n\r\n',
             Reason.BAD_ANSWER,
         ),
+        (
+            b'HTTP/1.1 600 Odd\r\nContent-Length: 3\r\n\r\nabc',
+            Reason.BAD_ANSWER,
+        ),
+        (
+            b'HTTP/1.1 999 Odd\r\nContent-Length: 3\r\n\r\nabc',
+            Reason.BAD_ANSWER,
+        ),
+        (
+            b'HTTP/1.1 099 Odd\r\nContent-Length: 3\r\n\r\nabc',
+            Reason.BAD_ANSWER,
+        ),
         (
             b'HTTP/1.1 200 OK\r\nX: ' + b'x' * 70_000 + b'\r\n\r\n',
             Reason.BAD_ANSWER,
--- a/cowslipmill/entry/upstream.py
+++ b/cowslipmill/entry/upstream.py
@@ -38,6 +38,8 @@
 KEEP_ALIVE_TIMEOUT_S = 10.0
 SHED_RETRY_AFTER_MS = 1_000
 MAX_RETRY_AFTER_MS = 60_000
+# Statuses of a whole response (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 BODYLESS_STATUSES = frozenset((204, 304))
 CONSUMED_HEADERS = frozenset((LOAD_HEADER.lower(), 'content-length'))
 OWN_HEADER_PREFIX = 'cowslipmill-'
@@ -160,7 +162,7 @@
 
 async def read_response(response: ClientResponse, max_bytes: int) -> Event:
     """Reads the whole response, up to `max_bytes` of body."""
-    if not is_well_framed(response):
+    if response.status not in FINAL_STATUSES or not is_well_framed(response):
         response.close()
         return ExchangeBroken(Reason.BAD_ANSWER)
     body = await read_body(response, max_bytes)
@@ -188,7 +190,7 @@
     """
     lengths = response.headers.getall('Content-Length', ())
     codings = response.headers.getall('Transfer-Encoding', ())
-    if response.status < 200 or len(lengths) + len(codings) > 1:
+    if len(lengths) + len(codings) > 1:
         return False
     return bool(lengths or codings) or has_no_body(response)
 
--- a/cowslipmill/host/tests/test_brokenframing.py
+++ b/cowslipmill/host/tests/test_brokenframing.py
@@ -87,6 +87,8 @@
     + LENGTH
     + b'\r\n'
     + BODY,
+    'a status of 600': HEAD.replace(b'200', b'600') + LENGTH + b'\r\n' + BODY,
+    'a status of 999': HEAD.replace(b'200', b'999') + LENGTH + b'\r\n' + BODY,
     'no status': HEAD.replace(b' 200 OK', b'') + LENGTH + b'\r\n' + BODY,
     'no answer': BODY + b'\r\n\r\n',
     'a zero in a header': HEAD + b'x-a: \x00\r\n' + LENGTH + b'\r\n' + BODY,
--- a/cowslipmill/host/tests/test_brokenrelays.py
+++ b/cowslipmill/host/tests/test_brokenrelays.py
@@ -93,6 +93,32 @@
     assert_that(list(asked.values()), Equals([1]))
 
 
+@pytest.mark.parametrize('status', [0, 103, 199, 600, 999])
+async def test_a_relayed_answer_with_an_invalid_status_is_told_as_unknown(
+    large_fleet: Fleet, partition: Partition, status: int
+) -> None:
+    """A host of an older build hands on what its server sent."""
+    cut = other_than_coordinator(large_fleet)
+    await isolate(large_fleet, partition, [cut])
+    asked: Counter[str] = Counter()
+
+    async def respond(message: RelayRequest, sender: str) -> RelayResponse:
+        asked[message.request_id] += 1
+        name = message.request_id.encode()
+        headers = (
+            (b'x-request-id', name),
+            (b'x-response-signature', name + b'.ok'),
+        )
+        return RelayResponse(status, headers, b'body')
+
+    for host in large_fleet.hosts:
+        if host is not cut:
+            host.rpc.register(RelayRequest, respond)
+    response = await call(large_fleet, cut, '/book/odd')
+    assert_that((response.status, response.body), Equals((502, b'')))
+    assert_that(list(asked.values()), Equals([1]))
+
+
 @pytest.mark.parametrize('before', [False, True])
 async def test_a_relayed_answer_that_comes_again_is_no_other_answer(
     large_fleet: Fleet, partition: Partition, before: bool
--- a/cowslipmill/http1/message.py
+++ b/cowslipmill/http1/message.py
@@ -26,6 +26,10 @@
 )
 # Memory that a header takes beside its text.
 HEADER_OVERHEAD_BYTES = 160
+# Statuses of RFC 9110, section 15, and those of them that are no interim ones.
+# With any other status, what the server did isn't known.
+VALID_STATUSES = range(100, 600)
+FINAL_STATUSES = range(200, 600)
 BODILESS_STATUSES = frozenset((204, 304))
 REASON_PHRASES = {
     200: b'OK',
--- a/cowslipmill/http1/serverconnection.py
+++ b/cowslipmill/http1/serverconnection.py
@@ -22,10 +22,12 @@
 
 from cowslipmill.http1.message import BodyBuffer
 from cowslipmill.http1.message import encode_request_head
+from cowslipmill.http1.message import FINAL_STATUSES
 from cowslipmill.http1.message import HEADER_OVERHEAD_BYTES
 from cowslipmill.http1.message import Headers
 from cowslipmill.http1.message import Request
 from cowslipmill.http1.message import Response
+from cowslipmill.http1.message import VALID_STATUSES
 from cowslipmill.http1.outgoing import OutgoingData
 from cowslipmill.memory.budget import Holding
 from cowslipmill.memory.budget import MemoryBudget
@@ -73,8 +75,6 @@
 MAX_HEAD_MEMORY_BYTES = 4 * MAX_HEAD_BYTES
 # Memory that an open connection takes beside what it receives.
 CONNECTION_BYTES = 8_192
-# Responses with a lower status precede the response itself.
-FIRST_FINAL_STATUS = 200
 # Responses with this status or a higher one may lack the request id.
 MIN_ERROR_STATUS = 400
 # Subtracted from the idle timeout that a server announces, so that no request
@@ -377,7 +377,7 @@
     @property
     def is_final(self) -> bool:
         """Whether the response is no interim one (1xx)."""
-        return self.status >= FIRST_FINAL_STATUS
+        return self.status >= FINAL_STATUSES.start
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the open request, if there is one."""
@@ -405,9 +405,12 @@
             self.fail_with(ResponseTooLarge())
 
     def on_headers_complete(self) -> None:
-        """Stores the status."""
+        """Stores the status; fails a response with an invalid one."""
         self.status = self.parser.get_status_code()
         self.headers_complete = True
+        if self.status not in VALID_STATUSES:
+            # The parser takes those below 100 for interim ones.
+            self.fail(f'not an answer: status {self.status}', reset=False)
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; fails a response that is too large."""
--- a/cowslipmill/http1/tests/test_serverconnection.py
+++ b/cowslipmill/http1/tests/test_serverconnection.py
@@ -26,7 +26,9 @@
 from cowslipmill.http1.serverconnection import open_connection
 from cowslipmill.http1.serverconnection import ServerConnection
 from cowslipmill.http1.tests.conftest import make_request
+from cowslipmill.standin.backend import Ending
 from cowslipmill.standin.backend import Fault
+from cowslipmill.standin.backend import RawAnswer
 from cowslipmill.standin.backend import StandinBackend
 
 
@@ -175,6 +177,36 @@
     assert_that(backend.running, Equals(0))
 
 
+def answer_with(status: int) -> RawAnswer:
+    """Returns a whole response to the request, with any status."""
+    head = b'HTTP/1.1 %03d Odd\r\nx-request-id: <id>\r\n' % status
+    return RawAnswer(head + b'content-length: 3\r\n\r\nabc', Ending.STAYS)
+
+
+@pytest.mark.parametrize('status', [0, 99, 600, 999])
+async def test_an_invalid_status_is_no_response(
+    backend: StandinBackend, status: int
+) -> None:
+    """RFC 9110, section 15, has 100 to 599; callers got the others."""
+    backend.raw_answer = answer_with(status)
+    connection = await connect(backend)
+    with pytest.raises(ExchangeFailed) as raised:
+        await connection.exchange(make_request())
+    assert_that(raised.value.reset, Equals(False))
+    assert_that(connection.usable, Equals(False))
+
+
+@pytest.mark.parametrize('status', [200, 299, 599])
+async def test_any_valid_status_is_a_response(
+    backend: StandinBackend, status: int
+) -> None:
+    """Statuses that this program doesn't know are passed on."""
+    backend.raw_answer = answer_with(status)
+    connection = await connect(backend)
+    response = await connection.exchange(make_request())
+    assert_that(response.status, Equals(status))
+
+
 async def test_connecting_to_a_closed_port_raises(
     backend: StandinBackend,
 ) -> None:
--- a/cowslipmill/relays/relayclient.py
+++ b/cowslipmill/relays/relayclient.py
@@ -12,6 +12,7 @@
 from cowslipmill.forwarding.attempt import Attempt
 from cowslipmill.forwarding.sendresult import Lost
 from cowslipmill.forwarding.sendresult import NotSent
+from cowslipmill.http1.message import FINAL_STATUSES
 from cowslipmill.http1.message import measure_headers
 from cowslipmill.http1.message import Response
 from cowslipmill.leasing.leaserequest import LeaseKey
@@ -195,6 +196,10 @@
             self.cancel(member, attempt.grant.key)
             raise
         if isinstance(reply, RelayResponse):
+            if reply.status not in FINAL_STATUSES:
+                # Hosts of older builds hand on any status of a server.
+                reason = f'not an answer: status {reply.status}'
+                return Lost(server, reason, False)
             holding = Holding(self.memory, f'relayed by {member.name}')
             size = RESPONSE_BYTES + measure_headers(reply.headers)
             if not holding.resize(size + len(reply.body)):
