Keep retries without a pause from gaining capacity

They aren't admitted within 50 ms of their first request while others of their priority are left out.

--- a/cowslipmill/leasing/selection.py
+++ b/cowslipmill/leasing/selection.py
@@ -25,9 +25,12 @@
 # depend on an estimate at the end of theirs.
 RESERVED_SHARE = 0.4
 # A caller that was refused and asks again after at least this time counts as
-# one that has waited. Shorter than the shortest spread retry delay, longer
+# one that has waited. It is the shortest retry delay, and longer
 # than it takes to retry three times without a pause.
 MIN_RETRY_PAUSE_S = 0.05
+# From this time on a caller counts as one that asks again. Less than a round
+# trip to callers, and more than the error of the time that hosts estimate.
+MIN_ASKED_BEFORE_S = 0.01
 
 # Power of the ratio of works by which the wait of a larger request is limited
 # below its own limit: 1 hardly left larger ones out, 3 left them out where
@@ -180,7 +183,20 @@
     for other in left_out:
         if other.priority != request.requirements.priority:
             continue
+        if retried_at_once(request):
+            candidate.wait_limit_s = 0.0
+            return
         if other.work_s < candidate.work_s:
             share = (other.work_s / candidate.work_s) ** WORK_EXPONENT
             limit_s = share * full_limit_s
             candidate.wait_limit_s = min(candidate.wait_limit_s, limit_s)
+
+
+def retried_at_once(request: LeaseRequest) -> bool:
+    """Returns whether the caller was refused and hasn't waited since.
+
+    It isn't admitted while others of its priority are left out: with three
+    retries in place of one it would get more than callers that wait.
+    """
+    asked_before_s = request.requirements.asked_before_s
+    return MIN_ASKED_BEFORE_S <= asked_before_s < MIN_RETRY_PAUSE_S
