Refuse at once without a server; bound the queue of weighed decisions

Without a server, as when all domains are evacuated, requests of the new decision waited until their objective; the queue of requests on time had no bound. Tests for both.

--- a/cowslipmill/leasing/costdecision.py
+++ b/cowslipmill/leasing/costdecision.py
@@ -44,6 +44,9 @@
 RETRY_SPREAD = 1.5
 # Shortest retry delay of a refusal, in seconds.
 MIN_RETRY_AFTER_S = 0.05
+# Retry delay when no server is known, in seconds.
+NO_SERVER_RETRY_AFTER_S = 0.5
+# Bounds the memory of a coordinator and the length of a round.
 MAX_QUEUED = 2_048
 
 
@@ -143,7 +146,8 @@
             work_s = self.works.typical_s(request)
             slack_s = self.slack_s(request)
             candidate = Candidate(request, work_s, slack_s, self.now)
-            (candidates if slack_s > 0.0 else late).append(candidate)
+            may_be_on_time = slack_s > 0.0 and bool(scheduler.servers)
+            (candidates if may_be_on_time else late).append(candidate)
         queue = candidates + late
         if queue:
             work_s = sum(candidate.work_s for candidate in queue)
@@ -221,11 +225,15 @@
             request.admitted = True
             self.demand.record_arrival(candidate.work_s, self.now)
         limit_at = request.requirements.objective_at
-        if request.remote_attempt_pending or not self.try_grant(
-            candidate, limit_at
-        ):
+        if request.remote_attempt_pending:
+            self.keep(candidate)
+        elif self.try_grant(candidate, limit_at):
+            return
+        elif self.has_room():
             self.keep(candidate)
             self.ask_other_domains(candidate, candidate.wait_s)
+        else:
+            self.refuse(candidate, candidate.wait_s)
 
     def try_grant(self, candidate: Candidate, limit_at: float) -> bool:
         """Grants a request a slot where it ends by a time, if there is one.
@@ -305,12 +313,18 @@
             return
         if not request.admitted_late:
             request.admitted_late = wait_s <= LATE_WAIT_SHARE * slack_s
-        full = len(self.scheduler.queue) > MAX_QUEUED
-        if request.admitted_late and slack_s > 0.0 and not full:
+        if request.admitted_late and slack_s > 0.0 and self.has_room():
             self.keep(candidate)
             return
         self.refuse(candidate, wait_s)
 
+    def has_room(self) -> bool:
+        """Returns whether another request may stay queued."""
+        return (
+            bool(self.scheduler.servers)
+            and len(self.still_queued) < MAX_QUEUED
+        )
+
     def late_wait_s(self, candidate: Candidate) -> float:
         """Returns the expected wait of late work, in seconds."""
         wait_s = (self.queued_s + candidate.work_s) / self.spare_slots()
@@ -333,6 +347,8 @@
         remaining_s = requirements.deadline_at - self.now
         longest_s = HONOURED_SHARE * remaining_s / RETRY_SPREAD
         expected_s = max(wait_s, overload.remaining_s(self.now))
+        if not self.scheduler.servers:
+            expected_s = NO_SERVER_RETRY_AFTER_S
         retry_after_s = max(MIN_RETRY_AFTER_S, min(longest_s, expected_s))
         retry_after_s *= self.random.uniform(1.0, RETRY_SPREAD)
         self.decisions.append(
--- a/cowslipmill/leasing/tests/test_costdecision.py
+++ b/cowslipmill/leasing/tests/test_costdecision.py
@@ -17,6 +17,7 @@
 from testtools.matchers import MatchesAll
 
 from cowslipmill.leasing.costdecision import LEFT_OUT
+from cowslipmill.leasing.costdecision import MAX_QUEUED
 from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import LeaseResult
@@ -195,6 +196,32 @@
     assert_that(work_s, MatchesAll(GreaterThan(0.08), LessThan(0.12)))
 
 
+def test_requests_without_a_server_are_refused_at_once(
+    scheduler: SlotScheduler, random: Random
+) -> None:
+    """Guards against requests that wait for a domain that is out of use."""
+    fill(scheduler, random)
+    queue_urgent(scheduler, 2)
+    scheduler.decide(0.0, random)
+    scheduler.set_servers([], 0.0)
+    decisions = scheduler.decide(0.001, random)
+    assert_that(decisions, AllMatch(IsInstance(Refusal)))
+    assert_that(decisions, HasLength(2))
+    reasons = {d.reason for d in decisions if isinstance(d, Refusal)}
+    assert_that(reasons, Equals({'no server'}))
+    assert_that(scheduler.queue, HasLength(0))
+
+
+def test_a_queue_is_bounded(scheduler: SlotScheduler, random: Random) -> None:
+    """Guards against a queue of requests that takes all memory."""
+    learn_work(scheduler, random, 0.001)
+    fill(scheduler, random)
+    for number in range(MAX_QUEUED + 100):
+        scheduler.enqueue(make_request(number, objective_s=60.0))
+    scheduler.decide(0.0, random)
+    assert_that(len(scheduler.queue), LessThan(MAX_QUEUED + 1))
+
+
 def learn_work(
     scheduler: SlotScheduler,
     random: Random,
