Pace requests to other failure domains that are full

Where the decision weighs cost, one request at a time asks while others are full, and a coordinator none of whose servers responds sends requests to another failure domain, whose queue they join.

--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -19,6 +19,7 @@
 from cowslipmill.leasing.leaserequest import LeaseKey
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import NO_PATH
+from cowslipmill.leasing.leaserequest import OUT_OF_SERVICE
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.leasing.prober import Prober
@@ -139,6 +140,8 @@
             await self.probe_servers()
             if not self.reaches_servers():
                 self.give_away_queue()
+            elif self.scheduler.is_out_of_service():
+                self.refuse_queue(OUT_OF_SERVICE)
             decisions = self.scheduler.decide(
                 self.clock(), self.random, probed_at=probed_at
             )
@@ -222,6 +225,9 @@
         waiter = self.waiters.get(request.key)
         if isinstance(reply, Grant) and waiter and not waiter.done():
             self.scheduler.cancel(request.key)
+            self.scheduler.remote_pace.record_result(
+                granted=True, now=self.clock()
+            )
             waiter.set_result(reply)
             return
         if isinstance(reply, Grant):
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -25,6 +25,7 @@
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import LeaseResult
 from cowslipmill.leasing.leaserequest import NO_PATH
+from cowslipmill.leasing.leaserequest import OUT_OF_SERVICE
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.leaserequest import Report
 from cowslipmill.leasing.prober import Prober
@@ -210,19 +211,19 @@
         Tries the ranked coordinators of the service in its failure domain;
         this host decides itself if it is next in rank, or if those tried are
         unreachable or reach no server. If the domain is evacuated meanwhile,
-        the lease is requested in another one.
+        or none of its servers responds, the lease is requested in another one.
         """
         key: LeaseKey = (self.member_list.own.name, next(self.request_numbers))
-        evacuated: set[str] = set()
+        unusable: set[str] = set()
         while True:
-            domain = self.choose_domain(requirements.service, evacuated)
+            domain = self.choose_domain(requirements.service, unusable)
             if domain is None:
                 wait_s = NO_SERVER_RETRY_AFTER_S * self.random.uniform(1, 1.5)
                 return Refusal(key, 'no server', wait_s, 0)
             reply = await self.acquire_in_domain(key, requirements, domain)
-            if not is_evacuated(reply):
+            if not is_domain_unusable(reply):
                 return reply
-            evacuated.add(domain)
+            unusable.add(domain)
 
     async def acquire_in_domain(
         self, key: LeaseKey, requirements: Requirements, domain: str
@@ -652,6 +653,13 @@
             coordinator.record_result(message, sender)
 
 
+def is_domain_unusable(reply: Reply) -> bool:
+    """Returns whether a coordinator refused for all of its failure domain."""
+    if not isinstance(reply, Refusal):
+        return False
+    return reply.reason in (EVACUATED, OUT_OF_SERVICE)
+
+
 def is_evacuated(reply: Reply) -> bool:
     """Returns whether a coordinator refused since its domain is evacuated."""
     return isinstance(reply, Refusal) and reply.reason == EVACUATED
--- a/cowslipmill/leasing/leaserequest.py
+++ b/cowslipmill/leasing/leaserequest.py
@@ -17,6 +17,9 @@
 # Reason for which nothing is granted at, or sent to, the servers of a failure
 # domain; those of others may be used.
 EVACUATED = 'failure domain evacuated'
+# Reason of a refusal by a coordinator none of whose servers responds; those of
+# other failure domains may.
+OUT_OF_SERVICE = 'failure domain out of service'
 
 
 class LeaseResult(IntEnum):
--- a/cowslipmill/leasing/remoteattempt.py
+++ b/cowslipmill/leasing/remoteattempt.py
@@ -18,6 +18,43 @@
 # Slack is computed so that a request that is processed this many times as long
 # as usual still meets its objective.
 PROCESSING_MARGIN = 1.1
+# Pause between two attempts for one request, and for any request once other
+# failure domains had no better server.
+REMOTE_ATTEMPT_PAUSE_S = 0.05
+
+
+class RemotePace:
+    """Paces a coordinator's attempts while other failure domains are full.
+
+    Answers a load under which all failure domains are full: if each queued
+    request asked again and again, coordinators would spend on refusals the
+    processor time that they need to grant slots.
+
+    Attributes:
+        full: Whether the last attempt found no better server.
+        next_at: When one request may ask while that is so, in monotonic
+            seconds.
+    """
+
+    __slots__ = ('full', 'next_at')
+
+    def __init__(self) -> None:
+        """Starts without a pause."""
+        self.full = False
+        self.next_at = 0.0
+
+    def allows(self, now: float) -> bool:
+        """Returns whether a request may ask now."""
+        return not self.full or now >= self.next_at
+
+    def record_attempt(self, now: float) -> None:
+        """Records that a request asks; others wait for the result."""
+        self.next_at = now + REMOTE_ATTEMPT_PAUSE_S
+
+    def record_result(self, *, granted: bool, now: float) -> None:
+        """Records whether there was a better server."""
+        self.full = not granted
+        self.next_at = now + REMOTE_ATTEMPT_PAUSE_S
 
 
 def choose_remote_attempt(
--- a/cowslipmill/leasing/scheduler.py
+++ b/cowslipmill/leasing/scheduler.py
@@ -32,6 +32,8 @@
 from cowslipmill.leasing.remoteattempt import choose_remote_attempt
 from cowslipmill.leasing.remoteattempt import FAST_SERVER_WAIT_S
 from cowslipmill.leasing.remoteattempt import PROCESSING_MARGIN
+from cowslipmill.leasing.remoteattempt import REMOTE_ATTEMPT_PAUSE_S
+from cowslipmill.leasing.remoteattempt import RemotePace
 from cowslipmill.leasing.sampling import count_free_fast_slots
 from cowslipmill.leasing.sampling import select_servers_to_probe
 from cowslipmill.leasing.serverchoice import find_best_server
@@ -41,8 +43,6 @@
 from cowslipmill.leasing.waitestimator import WaitEstimator
 from cowslipmill.view.server import ServerRecord
 
-# Pause between two attempts at other failure domains for one request.
-REMOTE_ATTEMPT_PAUSE_S = 0.05
 # Shortest retry delay of a refusal.
 MIN_RETRY_AFTER_S = 0.05
 # Retry delay when no server is known.
@@ -65,6 +65,7 @@
         probed_at: When servers were probed for the current decision, in
             monotonic seconds.
         wait_estimator: Estimates the wait in the queue.
+        remote_pace: Paces requests to other failure domains if `weighs_cost`.
         weighs_cost: Whether it decides by what delays and refusals cost
             callers, in a service that kinds of very different work share.
         ejection_change: How the last result changed whether its server is
@@ -80,6 +81,7 @@
         'probed_at',
         'processing_times',
         'queue',
+        'remote_pace',
         'servers',
         'wait_estimator',
         'weighs_cost',
@@ -93,6 +95,7 @@
         self.processing_times = ProcessingTimes()
         self.overload = Overload()
         self.other_domains_available = False
+        self.remote_pace = RemotePace()
         self.probed_at = 0.0
         self.wait_estimator = WaitEstimator()
         self.ejection_change: Change | None = None
@@ -307,14 +310,26 @@
             return None
         if now < request.next_remote_attempt_at:
             return None
+        if self.weighs_cost and not self.remote_pace.allows(now):
+            return None
         slack_s = self.slack_s(request, now)
-        return choose_remote_attempt(
+        attempt = choose_remote_attempt(
             request, wait_s, processing_s, slack_s, now
         )
+        if attempt is not None:
+            self.remote_pace.record_attempt(now)
+        return attempt
+
+    def is_out_of_service(self) -> bool:
+        """Returns whether no server responds, and others may be used."""
+        if not self.weighs_cost or not self.other_domains_available:
+            return False
+        return all(server.failed_probes for server in self.servers.values())
 
     def end_remote_attempt(self, request: LeaseRequest, now: float) -> None:
         """Records that no other failure domain had a better server."""
         request.remote_attempt_pending = False
+        self.remote_pace.record_result(granted=False, now=now)
         request.next_remote_attempt_at = now + REMOTE_ATTEMPT_PAUSE_S
 
     def grant(
