Mend what the reviews of the heavy load parts found

- A request that left an evacuated failure domain asked for its next lease under the same key; two requests with one key at a coordinator left one undecided, and a cancellation released the other's slot.
Each domain is asked with a key of its own.
- A list of evacuations from a host that was behind revived one that had ended, for good if the receiver read the store.
It is ignored below the revision up to which the receiver knows all.
- A deadline before the objective, work that can't be in time even alone, slow servers in the slack of late work, the work of immediate grants.
- Hosts ranked by processor time while an old host of another failure domain ranked by hashing; hosts that leave don't count; the digest includes the processor times, so that one that isn't known is learned.

--- a/cowslipmill/fleet/memberlist.py
+++ b/cowslipmill/fleet/memberlist.py
@@ -112,6 +112,18 @@
             if member.processor:
                 state.member = replace(known, processor=member.processor)
                 self.rankings.clear()
+                self.cached_digest = None
+
+    def all_tell_capacity(self) -> bool:
+        """Returns whether all hosts that stay tell their processor time.
+
+        One that doesn't is of an older build, which ranks by hashing alone,
+        and both builds have to rank the hosts of each failure domain alike.
+        """
+        return all(
+            state.leaving or 0.0 < state.member.processor < inf
+            for state in self.states.values()
+        )
 
     def mark_leaving(self, name: str, started_ms: int) -> None:
         """Records that a host stops.
@@ -124,6 +136,7 @@
         state = self.states.get(name)
         if state is not None and state.member.started_ms <= started_ms:
             state.leaving = True
+            self.rankings.clear()
 
     def members(self) -> tuple[Member, ...]:
         """Returns all known hosts."""
@@ -149,10 +162,19 @@
         return self.cached_digest
 
     def compute_digest(self) -> int:
-        """Computes the hash of `digest`."""
-        text = '\n'.join(
-            sorted(f'{m.name} {m.started_ms}' for m in self.members())
-        )
+        """Computes the hash of `digest`.
+
+        It includes the processor times once all hosts tell theirs, so that a
+        host that lacks some learns them by a comparison. Older builds hash
+        names and starts alone.
+        """
+        lines = [f'{m.name} {m.started_ms}' for m in self.members()]
+        if all(m.processor for m in self.members()):
+            lines = [
+                f'{m.name} {m.started_ms} {m.processor}'
+                for m in self.members()
+            ]
+        text = '\n'.join(sorted(lines))
         raw = blake2b(text.encode(), digest_size=6).digest()
         return int.from_bytes(raw, 'big')
 
@@ -205,7 +227,7 @@
             # Hosts of older builds hash the same text.
             hashed = rank(f'{(purpose, failure_domain)}', names)
             ranking = [self.states[name] for name in hashed]
-            if by_capacity:
+            if by_capacity and self.all_tell_capacity():
                 ranking = order_by_capacity(ranking)
             self.rankings[key] = ranking
         return [state for state in ranking if not state.leaving]
@@ -237,15 +259,16 @@
 
     A coordinator on a host with a fifth of the processor time of others
     replies late when it is busy. Hosts within a factor of two keep their
-    order, so that their duties stay spread. The order stays as it is while
-    any host doesn't tell its processor time: it is of an older build, which
-    ranks by hashing alone, and both builds have to rank alike.
+    order, so that their duties stay spread.
 
     Args:
         ranking: The hosts, ranked by rendezvous hashing.
     """
-    if not all(0.0 < state.member.processor < inf for state in ranking):
-        return ranking
-    return sorted(
-        ranking, key=lambda state: -floor(log2(state.member.processor))
-    )
+    return sorted(ranking, key=lambda state: -capacity_class(state.member))
+
+
+def capacity_class(member: Member) -> int:
+    """Returns the class of a host's processor time, by factors of two."""
+    if not 0.0 < member.processor < inf:
+        return 0
+    return floor(log2(member.processor))
--- a/cowslipmill/fleet/tests/test_memberlist.py
+++ b/cowslipmill/fleet/tests/test_memberlist.py
@@ -153,3 +153,30 @@
     names_by_capacity(member_list)
     member_list.add([replace(make_member(5), processor=0.43)])
     assert_that(names_by_capacity(member_list)[0], Equals('host-3'))
+
+
+def test_a_host_that_leaves_does_not_count() -> None:
+    """An older build that was replaced would keep ranking by hashing."""
+    member_list = make_uneven_list({'host-3': 2.15, 'host-5': 0.0})
+    names_by_capacity(member_list)
+    member_list.mark_leaving('host-5', 1)
+    assert_that(names_by_capacity(member_list)[0], Equals('host-3'))
+
+
+def test_a_host_of_another_domain_counts() -> None:
+    """The older build there would coordinate by hashing."""
+    member_list = make_uneven_list({'host-4': 2.15, 'host-5': 0.0})
+    ranked = member_list.ranked_members(
+        'registry', 'domain-1', 0.0, by_capacity=True
+    )
+    hashed = member_list.ranked_members('registry', 'domain-1', 0.0)
+    assert_that(ranked, Equals(hashed))
+
+
+def test_a_comparison_finds_a_capacity_that_is_not_known() -> None:
+    """The host that lacks it would go on ranking by hashing."""
+    whole = make_uneven_list({})
+    lacking = make_uneven_list({'host-5': 0.0})
+    assert_that(whole.digest() == lacking.digest(), Equals(False))
+    lacking.add([replace(make_member(5), processor=0.43)])
+    assert_that(whole.digest(), Equals(lacking.digest()))
--- a/cowslipmill/leasing/capacity.py
+++ b/cowslipmill/leasing/capacity.py
@@ -10,6 +10,7 @@
 
 from cowslipmill.leasing.estimate import COLD_FACTOR
 from cowslipmill.leasing.slots import ServerSlots
+from cowslipmill.leasing.slots import SHED_BLOCK_S
 from cowslipmill.leasing.waitestimator import WaitEstimator
 
 # A server that has been slow for this long is taken to stay slow. Longer than
@@ -19,6 +20,9 @@
 # Mean time for which a slot that becomes free in a slow period is not used:
 # half a period of 150 ms, and some periods follow on one another.
 SLOW_PAUSE_S = 0.1
+# A server that is blocked for less, as after it shed a request, counts: it is
+# used again before a queued request is late.
+LONGEST_SHORT_BLOCK_S = 2.0 * SHED_BLOCK_S
 # Least number of slots, so that a wait without any is long, not infinite.
 MIN_CAPACITY = 0.05
 
@@ -88,7 +92,9 @@
         if stays_slow(server, now) and server.load is not None:
             factor *= server.load.slowdown
             slow += 1
-        if now < server.blocked_until or server.failed_probes:
+        if server.failed_probes:
+            continue
+        if server.blocked_until - now > LONGEST_SHORT_BLOCK_S:
             continue
         if server.ejection.excluded:
             continue
--- a/cowslipmill/leasing/coordinator.py
+++ b/cowslipmill/leasing/coordinator.py
@@ -95,8 +95,9 @@
                     self.release_unused(request, decision)
             raise
         finally:
-            self.waiters.pop(request.key, None)
-            self.scheduler.cancel(request.key)
+            if self.waiters.get(request.key) is waiter:
+                del self.waiters[request.key]
+                self.scheduler.cancel(request.key)
 
     def start(self) -> None:
         """Wakes the decision loop, or starts it if it has ended."""
--- a/cowslipmill/leasing/costdecision.py
+++ b/cowslipmill/leasing/costdecision.py
@@ -16,6 +16,7 @@
 from cowslipmill.leasing.demand import Demand
 from cowslipmill.leasing.estimate import is_temporarily_slow
 from cowslipmill.leasing.leaserequest import Decision
+from cowslipmill.leasing.leaserequest import Grant
 from cowslipmill.leasing.leaserequest import LeaseRequest
 from cowslipmill.leasing.leaserequest import Refusal
 from cowslipmill.leasing.remoteattempt import FAST_SERVER_WAIT_S
@@ -216,7 +217,8 @@
             upper_s - typical_s,
             MAX_MARGIN_SHARE * max(0.0, objective_s - typical_s),
         )
-        return requirements.objective_at - self.now - typical_s - margin_s
+        end_at = min(requirements.objective_at, requirements.deadline_at)
+        return end_at - self.now - typical_s - margin_s
 
     def decide_on_time(self, candidate: Candidate) -> None:
         """Grants a request that can meet its objective, or keeps it."""
@@ -224,7 +226,8 @@
         if not request.admitted:
             request.admitted = True
             self.demand.record_arrival(candidate.work_s, self.now)
-        limit_at = request.requirements.objective_at
+        requirements = request.requirements
+        limit_at = min(requirements.objective_at, requirements.deadline_at)
         if request.remote_attempt_pending:
             self.keep(candidate)
         elif self.try_grant(candidate, limit_at):
@@ -293,6 +296,8 @@
         decision = self.scheduler.decide_one(request, 0, self.now, self.random)
         if decision is not None:
             self.decisions.append(decision)
+        if isinstance(decision, Grant):
+            self.works.record_grant(request, decision.expected_duration_s)
         self.free = [
             server for server in self.free if has_free_slot(server, self.now)
         ]
@@ -306,7 +311,8 @@
         deadline_at = request.requirements.deadline_at
         if self.try_grant(candidate, deadline_at):
             return
-        slack_s = deadline_at - self.now - candidate.work_s
+        duration_s = self.speed.least_factor * candidate.work_s
+        slack_s = deadline_at - self.now - duration_s
         wait_s = self.late_wait_s(candidate)
         if slack_s > 0.0 and self.ask_other_domains(candidate, wait_s):
             self.keep(candidate)
--- a/cowslipmill/leasing/leasemanager.py
+++ b/cowslipmill/leasing/leasemanager.py
@@ -213,9 +213,10 @@
         unreachable or reach no server. If the domain is evacuated meanwhile,
         or none of its servers responds, the lease is requested in another one.
         """
-        key: LeaseKey = (self.member_list.own.name, next(self.request_numbers))
         unusable: set[str] = set()
         while True:
+            # The coordinator asked before may still have others asked for it.
+            key = self.make_key()
             domain = self.choose_domain(requirements.service, unusable)
             if domain is None:
                 wait_s = NO_SERVER_RETRY_AFTER_S * self.random.uniform(1, 1.5)
@@ -225,6 +226,10 @@
                 return reply
             unusable.add(domain)
 
+    def make_key(self) -> LeaseKey:
+        """Returns the key of a new lease request."""
+        return self.member_list.own.name, next(self.request_numbers)
+
     async def acquire_in_domain(
         self, key: LeaseKey, requirements: Requirements, domain: str
     ) -> Grant | Refusal:
@@ -583,16 +588,23 @@
             message.key, requirements, message.failure_domain, may_move=True
         )
         if is_evacuated(reply) and requirements.max_duration_s is None:
-            grant = await self.acquire_elsewhere(message.key, requirements)
-            return grant or reply
+            grant = await self.acquire_elsewhere(requirements)
+            if grant is not None:
+                return grant
+            # A host of an older build tells its caller this delay.
+            wait_s = NO_SERVER_RETRY_AFTER_S * self.random.uniform(1, 1.5)
+            assert isinstance(reply, Refusal)
+            return replace(reply, retry_after_s=wait_s)
         return reply
 
     async def acquire_elsewhere(
-        self, key: LeaseKey, requirements: Requirements
+        self, requirements: Requirements
     ) -> Grant | None:
         """Requests a lease outside an evacuated domain for another host.
 
         That host may be of an older build, which would refuse the request.
+        Each attempt has a key of this host, as the other one may request a
+        lease of the same coordinator meanwhile.
 
         Returns:
             The first grant; None if no server is free at once.
@@ -602,6 +614,7 @@
         tried: set[str] = set()
         while domain := self.choose_domain(at_once.service, tried):
             tried.add(domain)
+            key = self.make_key()
             reply = await self.acquire_from_domain(key, at_once, domain)
             if isinstance(reply, Grant):
                 # The other host returns a lease to the coordinator named, also
--- a/cowslipmill/leasing/selection.py
+++ b/cowslipmill/leasing/selection.py
@@ -121,6 +121,10 @@
     left_out: set[int] = set()
     work_s = 0.0
     for index, candidate in enumerate(ordered):
+        if candidate.work_s > candidate.wait_limit_s * capacity:
+            # It can't be in time even alone, whatever is left out for it.
+            left_out.add(index)
+            continue
         work_s += candidate.work_s
         heappush(heap, (loss_rank(candidate, protected_routes), -index))
         while index not in left_out and (
--- a/cowslipmill/leasing/tests/test_costdecision.py
+++ b/cowslipmill/leasing/tests/test_costdecision.py
@@ -247,3 +247,28 @@
             duration_s,
         )
         scheduler.record_result(report, 0.0)
+
+
+def test_servers_that_have_just_shed_count_as_capacity(
+    scheduler: SlotScheduler, random: Random
+) -> None:
+    """All requests would be refused that can be served 30 ms later."""
+    for server in scheduler.servers.values():
+        server.record_result(LeaseResult.SHED, 0.0)
+    scheduler.enqueue(make_request(1))
+    assert_that(scheduler.decide(0.0, random), Equals([]))
+    for server in scheduler.servers.values():
+        report_load(server, 0.031)
+    decisions = scheduler.decide(0.031, random)
+    assert_that(decisions, AllMatch(IsInstance(Grant)))
+    assert_that(decisions, HasLength(1))
+
+
+def test_nothing_is_granted_that_ends_after_its_deadline(
+    scheduler: SlotScheduler, random: Random
+) -> None:
+    """A deadline before the objective would have work done in vain."""
+    scheduler.enqueue(make_request(1, objective_s=0.9, deadline_s=0.1))
+    decisions = scheduler.decide(0.0, random)
+    assert_that(decisions, AllMatch(IsInstance(Refusal)))
+    assert_that(decisions, HasLength(1))
--- a/cowslipmill/view/evacuations.py
+++ b/cowslipmill/view/evacuations.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Collection
-from collections.abc import Iterable
 from logging import getLogger
 
 from cowslipmill.view.events import EvacuationChanged
@@ -92,7 +91,7 @@
         ]
 
     def events_of_list(
-        self, changes: Iterable[EvacuationChanged], revision: int
+        self, changes: Collection[EvacuationChanged], revision: int
     ) -> list[EvacuationChanged]:
         """Returns the events in another host's list of changes.
 
@@ -101,8 +100,15 @@
             revision: Store revision up to which it knows all; 0 for a host
                 of an older build, whose list is empty and says nothing.
         """
-        events = list(changes)
-        names = {change.failure_domain for change in events}
+        names = {change.failure_domain for change in changes}
+        # One that is known here up to a later revision, and of which nothing
+        # is, has ended since: the other host is behind.
+        events = [
+            change
+            for change in changes
+            if change.failure_domain in self.changes
+            or change.revision > self.known_until
+        ]
         return events + self.find_ended(names, revision)
 
     def advance(self, revision: int, synced_at: float) -> None:
--- a/cowslipmill/view/tests/test_evacuations.py
+++ b/cowslipmill/view/tests/test_evacuations.py
@@ -183,3 +183,17 @@
     view.apply_events([ended], 0.0)
     view.apply_events([make_change(70)], 0.0)
     assert_that(view.evacuations.is_active(DOMAIN), Equals(False))
+
+
+def test_a_list_of_a_host_that_is_behind_revives_no_evacuation() -> None:
+    """A host that has read the store since would tell all others of it."""
+    evacuations = Evacuations()
+    evacuations.advance(30, 1.0)
+    late = (EvacuationChanged('domain-a', 10, True),)
+    for change in evacuations.events_of_list(late, 19):
+        evacuations.apply(change)
+    assert_that(evacuations.active, Equals(frozenset()))
+    newer = (EvacuationChanged('domain-a', 31, True),)
+    for change in evacuations.events_of_list(newer, 31):
+        evacuations.apply(change)
+    assert_that(evacuations.active, Equals({'domain-a'}))
