--- a/cowslipmill/host/tests/partition.py
+++ b/cowslipmill/host/tests/partition.py
@@ -31,6 +31,7 @@
     Attributes:
         full_listener: Listens without accepting while new connections hang.
         fillers: Connections that fill its queue.
+        reserved: Keeps the port while connections are refused; None else.
         opened: Number of connections that were opened through it.
     """
 
@@ -39,6 +40,7 @@
         super().__init__(target)
         self.full_listener: socket | None = None
         self.fillers: list[socket] = []
+        self.reserved: socket | None = None
         self.opened = 0
 
     async def listen(self) -> None:
@@ -56,6 +58,15 @@
         elif how is Cut.HANG:
             self.silent = True
             self.fill_queue()
+        if how is not Cut.HANG:
+            self.reserve_port()
+
+    def reserve_port(self) -> None:
+        """Keeps the port, which another process might be given meanwhile."""
+        reserved = socket(AF_INET, SOCK_STREAM)
+        reserved.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        reserved.bind(self.address)
+        self.reserved = reserved
 
     def fill_queue(self) -> None:
         """Has the system drop the first packet of new connections."""
@@ -79,6 +90,9 @@
         self.full_listener = None
         self.heal()
         await self.listen()
+        if self.reserved is not None:
+            self.reserved.close()
+            self.reserved = None
 
 
 class ProxyDialer(Dialer):
